--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"sync/atomic"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -15,11 +15,15 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/core"
+	"catkinrail.example/catkinrail/control/document"
 	"catkinrail.example/catkinrail/control/entry"
+	"catkinrail.example/catkinrail/control/follow"
+	"catkinrail.example/catkinrail/control/gossip"
 	"catkinrail.example/catkinrail/control/operator"
 	"catkinrail.example/catkinrail/control/voter"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
+	"catkinrail.example/catkinrail/platform"
 	"catkinrail.example/catkinrail/protocol/api"
 	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/protocol/metricspage"
@@ -42,12 +46,18 @@
 	log       *logs.Logger
 	bootstrap bool
 	creds     *rpc.Credentials
-	core      atomic.Pointer[core.Core]
 	identity  *journal.Identity
 	dir       *disk.Dir
+	clock     *clock.System
+}
+
+// self says how others reach this instance.
+func (d *daemon) self() quorum.Peer {
+	return quorum.Peer{Name: d.cfg.Name, Addr: d.cfg.Address, Zone: string(d.cfg.Zone), Public: d.cfg.Public}
 }
 
 func (d *daemon) run(ctx context.Context, g *errgroup.Group) error {
+	d.clock = clock.New()
 	var err error
 	if d.creds, err = rpc.NewCredentials(d.cfg.TLS); err != nil {
 		return err
@@ -58,15 +68,14 @@
 	if d.dir, err = disk.Open(d.cfg.Data); err != nil {
 		return err
 	}
-	created, err := d.loadIdentity()
-	if err != nil {
+	if err := d.loadIdentity(); err != nil {
 		return err
 	}
 	j, stored, err := journal.Open(d.dir)
 	if err != nil {
 		return catkinrail.At(err, "open journal", d.cfg.Data)
 	}
-	if created && d.bootstrap {
+	if d.initial() && len(stored.Snapshot.Members.Nodes) == 0 && len(stored.Entries) == 0 {
 		stored.Snapshot.Members = *d.initialMembers()
 		if err := j.SaveSnapshot(&stored.Snapshot, nil); err != nil {
 			return catkinrail.At(err, "bootstrap", d.cfg.Data)
@@ -76,25 +85,33 @@
 }
 
 // loadIdentity reads the folder's identity or gives a new folder one.
-func (d *daemon) loadIdentity() (created bool, err error) {
+func (d *daemon) loadIdentity() error {
+	var err error
 	d.identity, err = journal.LoadIdentity(d.dir)
 	if err != nil {
-		return false, catkinrail.At(err, "read identity", d.cfg.Data)
+		return catkinrail.At(err, "read identity", d.cfg.Data)
 	}
 	if d.identity != nil {
 		if d.identity.Name != d.cfg.Name {
-			return false, fmt.Errorf("data folder %s belongs to instance %q, not %q", d.cfg.Data, d.identity.Name, d.cfg.Name)
+			return fmt.Errorf("data folder %s belongs to instance %q, not %q", d.cfg.Data, d.identity.Name, d.cfg.Name)
 		}
-		return false, nil
+		return nil
 	}
 	d.identity = &journal.Identity{Name: d.cfg.Name, Node: quorum.NodeID(rand.Uint64() | 1)}
-	if d.bootstrap {
+	if own := d.cfg.ownPeer(); d.bootstrap && own != nil {
 		if err := d.refuseSecondBootstrap(); err != nil {
-			return false, err
+			return err
 		}
-		d.identity.Node = initialID(d.cfg.Name)
+		d.identity.Node = initialID(own.Name)
 	}
-	return true, journal.SaveIdentity(d.dir, d.identity)
+	return journal.SaveIdentity(d.dir, d.identity)
+}
+
+// initial reports whether this instance began with the cluster and still has the
+// folder that it began with.
+func (d *daemon) initial() bool {
+	own := d.cfg.ownPeer()
+	return own != nil && d.identity.Node == initialID(own.Name)
 }
 
 // errBootstrapped reports a cluster that has begun already.
@@ -103,6 +120,9 @@
 // refuseSecondBootstrap makes sure that no peer has a log yet. An instance that
 // lost its disk must not come back under its first identity.
 func (d *daemon) refuseSecondBootstrap() error {
+	if d.cfg.firstStart {
+		return nil
+	}
 	for _, p := range d.cfg.Peers {
 		if p.Name == d.cfg.Name {
 			continue
@@ -135,19 +155,24 @@
 	if err != nil {
 		return err
 	}
-	clk := clock.New()
+	clk := d.clock
 	voters := voter.New(ctx, g, d.creds, d.log, clk)
 	c, err := core.New(core.Config{
 		ID: d.identity.Node, Name: d.cfg.Name, Timing: quorum.DefaultTiming, Lease: d.cfg.Lease,
 		Seed: rand.Uint64(), Clock: clk, Log: d.log, Journal: j, Stored: stored, Send: voters.Send,
+		EvictAfter: d.cfg.EvictAfter,
+		Reopen:     func() (*journal.Journal, quorum.Stored, error) { return journal.Open(d.dir) },
 	})
 	if err != nil {
 		return err
 	}
-	d.core.Store(c)
+	dir := gossip.New(gossip.Config{
+		Self: d.self(), Clock: clk, Log: d.log, Creds: d.creds, Group: g, Seeds: d.cfg.peerAddrs(),
+		Silent: d.cfg.SilentAfter, Members: func() *quorum.Members { return c.Snapshot().Members }, Dir: d.dir,
+	})
 	mux := drpcmux.New()
 	err = errors.Join(
-		control.DRPCRegisterControl(mux, entry.New(c)),
+		control.DRPCRegisterControl(mux, entry.New(c, dir, follow.New(c, dir, clk, d.log))),
 		api.DRPCRegisterOperator(mux, operator.New(c)),
 	)
 	if err != nil {
@@ -159,24 +184,25 @@
 	if d.cfg.Metrics != "" {
 		g.Go(func() error { return d.serveMetrics(ctx, c) })
 	}
+	if d.cfg.Public != "" {
+		dir.Start(ctx)
+		store := document.New(c, rpc.NewPool(d.creds), d.log)
+		h := platform.ControlHandler(dir, store, clk, d.log)
+		g.Go(func() error { return metricspage.ServeHTTP(ctx, d.cfg.Public, h) })
+	}
 	d.log.Info().Str("address", d.cfg.Address).Uint64("node", uint64(d.identity.Node)).Msg("started")
 	return nil
 }
 
-// join asks the leader for a vote until this instance has one.
+// join asks for a vote whenever this instance has none, and when it hears of no
+// leader: it may have been removed while it was away.
 func (d *daemon) join(ctx context.Context, c *core.Core) error {
-	req := &control.JoinRequest{Node: d.identity.Node, Peer: quorum.Peer{Name: d.cfg.Name, Addr: d.cfg.Address}}
+	req := &control.JoinRequest{Node: d.identity.Node, Peer: d.self()}
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
-		if joined, err := c.Joined(ctx); err != nil || joined {
-			return nil
-		}
-		peer := d.cfg.Peers[i%len(d.cfg.Peers)]
-		if peer.Name != d.cfg.Name {
-			if err := voter.Join(ctx, peer.Address, d.creds, req); err != nil {
-				d.log.Debug().Err(err).Str("peer", peer.Name).Msg("not joined yet")
-			}
+		if !c.Joined(req.Peer) {
+			d.askToJoin(ctx, c, req, i)
 		}
 		select {
 		case <-ctx.Done():
@@ -186,6 +212,28 @@
 	}
 }
 
+// askToJoin asks the leader, if one is known, or else one instance after the
+// other.
+func (d *daemon) askToJoin(ctx context.Context, c *core.Core, req *control.JoinRequest, attempt int) {
+	snap := c.Snapshot()
+	known := d.cfg.peerAddrs()
+	for _, id := range cluster.SortedKeys(snap.Members.Nodes) {
+		if addr := snap.Members.Nodes[id].Addr; !slices.Contains(known, addr) {
+			known = append(known, addr)
+		}
+	}
+	addr := known[attempt%len(known)]
+	if leader, ok := snap.Members.Nodes[snap.Leader]; ok && attempt%2 == 0 {
+		addr = leader.Addr
+	}
+	if addr == d.cfg.Address {
+		return
+	}
+	if err := voter.Join(ctx, addr, d.creds, req); err != nil {
+		d.log.Debug().Err(err).Str("peer", addr).Msg("not joined yet")
+	}
+}
+
 // serveMetrics serves metrics and health. The instance is ready while it knows a
 // leader.
 func (d *daemon) serveMetrics(ctx context.Context, c *core.Core) error {
--- a/control/cmd/catkinrail-control/main.go
+++ b/control/cmd/catkinrail-control/main.go
@@ -23,14 +23,22 @@
 	app := kingpin.New("catkinrail-control", "Runs a control instance.\n\nExit codes: 0 after a shutdown, 1 if it failed, 2 if the settings are wrong.")
 	bootstrap := app.Flag("bootstrap", "Begin a new cluster. All peers must be started with it, on empty data folders.").Bool()
 	var cfg Settings
-	if run, code := settings.Program(app, os.Args[1:], &cfg); !run {
+	source := settings.Source{Platform: func() error {
+		given, err := platformSettings()
+		if err == nil {
+			cfg = *given
+		}
+		return err
+	}}
+	if run, code := source.Program(app, os.Args[1:], &cfg); !run {
 		return code
 	}
-	log := logs.New(os.Stderr, cfg.Log, "catkinrail-control", cfg.Name)
+	log := logs.NewRing(os.Stdout, cfg.Log, "catkinrail-control", cfg.Name)
+	defer log.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
-	d := &daemon{cfg: &cfg, log: log, bootstrap: *bootstrap}
+	d := &daemon{cfg: &cfg, log: log, bootstrap: *bootstrap || cfg.firstStart}
 	g.Go(func() error { return d.run(ctx, g) })
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		log.Error(err).Msg("control instance failed")
--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -17,7 +17,9 @@
 	minLease     = 500 * time.Millisecond
 	maxLease     = 10 * time.Second
 	minPeers     = 1
-	maxPeers     = 7
+	// defaultSilentAfter allows for two reports that went amiss.
+	defaultSilentAfter = 4 * time.Second
+	maxPeers           = 7
 )
 
 // Settings are the settings of a control instance.
@@ -32,10 +34,40 @@
 	Peers []Peer `yaml:"peers"`
 	// Lease is the length of an entry instance's lease.
 	Lease time.Duration `yaml:"lease"`
+	// Public is where backend servers and operators reach the instance over HTTP;
+	// empty for none.
+	Public string `yaml:"public"`
+	// EvictAfter is the silence after which a control instance loses its vote
+	// until it joins again; zero for never.
+	EvictAfter time.Duration `yaml:"evict-after"`
+	// SilentAfter is the time without a report after which a backend server gets
+	// no new flows.
+	SilentAfter time.Duration `yaml:"silent-after"`
 	// Metrics is the address of the metrics and health pages; empty for none.
 	Metrics string          `yaml:"metrics"`
 	TLS     rpc.TLSSettings `yaml:"tls"`
 	Log     logs.Settings   `yaml:"log"`
+
+	// firstStart is set if the platform vouches that no earlier start had disks.
+	firstStart bool
+}
+
+// ownPeer returns this instance among the peers, or nil.
+func (s *Settings) ownPeer() *Peer {
+	for i := range s.Peers {
+		if s.Peers[i].Address == s.Address {
+			return &s.Peers[i]
+		}
+	}
+	return nil
+}
+
+func (s *Settings) peerAddrs() []string {
+	var list []string
+	for _, p := range s.Peers {
+		list = append(list, p.Address)
+	}
+	return list
 }
 
 // Peer names a control instance.
@@ -57,8 +89,8 @@
 			add(f.field, "is missing")
 		}
 	}
-	for _, f := range []struct{ field, value string }{{"address", s.Address}, {"metrics", s.Metrics}} {
-		if f.field == "metrics" && f.value == "" {
+	for _, f := range []struct{ field, value string }{{"address", s.Address}, {"metrics", s.Metrics}, {"public", s.Public}} {
+		if f.field != "address" && f.value == "" {
 			continue
 		}
 		if _, err := netip.ParseAddrPort(f.value); err != nil {
@@ -71,6 +103,17 @@
 	if s.Lease < minLease || s.Lease > maxLease {
 		add("lease", fmt.Sprintf("must be from %s to %s", minLease, maxLease))
 	}
+	if s.SilentAfter == 0 {
+		s.SilentAfter = defaultSilentAfter
+	}
+	for _, f := range []struct {
+		field string
+		value time.Duration
+	}{{"evict-after", s.EvictAfter}, {"silent-after", s.SilentAfter}} {
+		if f.value < 0 {
+			add(f.field, "must not be negative")
+		}
+	}
 	errs = append(errs, s.validatePeers()...)
 	errs = append(errs, settings.Prefix("tls", s.TLS.Validate())...)
 	return append(errs, settings.Prefix("log", s.Log.Validate())...)
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -70,6 +71,12 @@
 	Log     *logs.Logger
 	Journal *journal.Journal
 	Stored  quorum.Stored
+	// Reopen opens the journal anew after a write failed. If it is nil, the
+	// failure ends Run.
+	Reopen func() (*journal.Journal, quorum.Stored, error)
+	// EvictAfter is the silence after which the leader removes a voter; zero for
+	// never.
+	EvictAfter time.Duration
 	// Send passes messages on to other control instances without waiting.
 	Send func([]quorum.Message, *quorum.Members)
 }
@@ -88,6 +95,13 @@
 	pending []*proposal
 	flying  *proposal
 	stopped chan struct{}
+	reads   []pendingRead
+	// membersSeen is the index of the members in the published snapshot.
+	membersSeen uint64
+	published   atomic.Pointer[Snapshot]
+	// advanced is closed and replaced with every snapshot.
+	advanced atomic.Pointer[chan struct{}]
+	synced   atomic.Int64
 }
 
 // proposal is a change that somebody waits for.
@@ -114,12 +128,10 @@
 		changed: make(chan struct{}),
 		stopped: make(chan struct{}),
 	}
-	if len(cfg.Stored.Snapshot.Data) > 0 {
-		if err := cluster.Decode(cfg.Stored.Snapshot.Data, c.state); err != nil {
-			return nil, catkinrail.At(err, "read snapshot", "")
-		}
+	c.advanced.Store(newSignal())
+	if err := c.begin(); err != nil {
+		return nil, err
 	}
-	c.node = quorum.New(cfg.ID, cfg.Timing, cfg.Seed, cfg.Stored, c.now())
 	return c, nil
 }
 
@@ -144,8 +156,13 @@
 		}
 		c.work()
 		if err := c.handleReady(); err != nil {
-			return err
+			if err := c.recover(ctx, err); err != nil {
+				return err
+			}
+			continue
 		}
+		c.confirmReads()
+		c.publish()
 	}
 }
 
@@ -253,7 +270,7 @@
 func (c *Core) apply(e *quorum.Entry) error {
 	if e.Kind == quorum.EntryData {
 		var change cluster.Change
-		if err := cluster.Decode(e.Data, &change); err != nil {
+		if err := cluster.DecodeChange(e.Data, &change); err != nil {
 			return err
 		}
 		if err := c.state.Apply(change); err != nil {
@@ -334,6 +351,7 @@
 		return
 	}
 	c.leader.plan(c, now)
+	c.evictSilent()
 	for c.flying == nil && len(c.pending) > 0 {
 		p := c.pending[0]
 		c.pending = c.pending[1:]
@@ -367,7 +385,7 @@
 		p.finish(Result{Answer: answer, Err: err})
 		return
 	}
-	data, err := cluster.Encode(cluster.Change{Version: c.state.Version + 1, Events: events})
+	data, err := cluster.EncodeChange(&cluster.Change{Version: c.state.Version + 1, Events: events})
 	if err != nil {
 		p.finish(Result{Err: err})
 		return
--- /dev/null
+++ b/control/core/document.go
@@ -0,0 +1,170 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/state/cluster"
+)
+
+// Snapshot is what anyone may read of a core without waiting for it.
+type Snapshot struct {
+	// Document is the document at the applied index, nil before the first.
+	Document *catkinrail.Document
+	// Applied is the index of the last entry that was applied.
+	Applied uint64
+	Members *quorum.Members
+	Node    quorum.NodeID
+	// Leader is the leader that is known, or zero.
+	Leader quorum.NodeID
+	Term   uint64
+}
+
+// publish makes the present state visible to Snapshot.
+func (c *Core) publish() {
+	// The snapshot that a time of synchronisation speaks of must be out first.
+	defer c.synced.Store(c.node.Synced())
+	old := c.published.Load()
+	if old != nil && old.Applied == c.node.Applied() && old.Leader == c.node.LeaderID() &&
+		old.Term == c.node.Term() && c.membersSeen == c.node.MembersIndex() {
+		return
+	}
+	c.membersSeen = c.node.MembersIndex()
+	s := &Snapshot{
+		Document: c.state.Document, Applied: c.node.Applied(), Members: c.node.Members(),
+		Node: c.node.ID(), Leader: c.node.LeaderID(), Term: c.node.Term(),
+	}
+	c.published.Store(s)
+	if old != nil {
+		c.logChange(old, s)
+	}
+	close(*c.advanced.Swap(newSignal()))
+}
+
+// logChange logs what this instance believes anew.
+func (c *Core) logChange(old, s *Snapshot) {
+	if old.Leader != s.Leader || old.Term != s.Term {
+		c.cfg.Log.Info().Uint64("term", s.Term).Str("leader", s.Members.Nodes[s.Leader].Name).
+			Uint64("applied", s.Applied).Msg("leader changed")
+	}
+	if old.Document != s.Document && s.Document != nil {
+		c.cfg.Log.Info().Uint64("version", s.Document.Version).Uint64("applied", s.Applied).
+			Int("routes", len(s.Document.Routes)).Msg("document in force")
+	}
+	if !slices.Equal(cluster.SortedKeys(old.Members.Nodes), cluster.SortedKeys(s.Members.Nodes)) ||
+		old.Members.Voters() != s.Members.Voters() {
+		c.cfg.Log.Info().Int("voters", s.Members.Voters()).Int("members", len(s.Members.Nodes)).
+			Uint64("applied", s.Applied).Msg("members changed")
+	}
+}
+
+func newSignal() *chan struct{} {
+	ch := make(chan struct{})
+	return &ch
+}
+
+// Snapshot returns the state that was applied last. It never waits, also while
+// the disk holds the core up.
+func (c *Core) Snapshot() *Snapshot {
+	return c.published.Load()
+}
+
+// Advanced returns a channel that is closed when the next snapshot is there.
+func (c *Core) Advanced() <-chan struct{} {
+	return *c.advanced.Load()
+}
+
+// Synced returns when this instance last knew all that its leader had committed,
+// in nanoseconds of the clock; zero if it never did since its start.
+func (c *Core) Synced() int64 {
+	return c.synced.Load()
+}
+
+// PutDocument proposes a document, on the leader. A document that is not newer
+// than the one in force changes nothing.
+func (c *Core) PutDocument(ctx context.Context, d *catkinrail.Document) error {
+	_, err := c.Submit(ctx, func(s *cluster.State) ([]cluster.Event, *cluster.Answer, error) {
+		if s.Document != nil && s.Document.Version >= d.Version {
+			return nil, nil, nil
+		}
+		return []cluster.Event{{DocumentPut: d}}, nil, nil
+	})
+	return err
+}
+
+// pendingRead is a read that waits for its proof.
+type pendingRead struct {
+	mark, term int64
+	done       chan error
+}
+
+// ReadIndex returns, on the leader, the index that a read must wait for. It
+// proves by answers of a majority that no later leader had been elected when
+// the call began.
+func (c *Core) ReadIndex(ctx context.Context) (uint64, error) {
+	done := make(chan error, 1)
+	var index uint64
+	err := c.do(ctx, func() {
+		mark, at, err := c.node.BeginRead(c.now())
+		if err != nil {
+			done <- c.leaderError()
+			return
+		}
+		index = at
+		c.reads = append(c.reads, pendingRead{mark: mark, term: int64(c.node.Term()), done: done})
+	})
+	if err != nil {
+		return 0, err
+	}
+	select {
+	case err := <-done:
+		return index, err
+	case <-c.stopped:
+		return 0, ErrNotLeader
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// confirmReads answers the reads whose proof has come.
+func (c *Core) confirmReads() {
+	c.reads = slices.DeleteFunc(c.reads, func(r pendingRead) bool {
+		switch {
+		case c.node.Role() != quorum.Leader || int64(c.node.Term()) != r.term:
+			r.done <- c.leaderError()
+		case c.node.ReadConfirmed(r.mark):
+			r.done <- nil
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+// evictSilent removes, on the leader, a voter that has not answered for long, so
+// that instances that never come back don't weaken the quorum for ever. One
+// that does come back joins again.
+func (c *Core) evictSilent() {
+	if c.cfg.EvictAfter <= 0 || !c.leader.active {
+		return
+	}
+	m := c.node.Members()
+	for _, id := range cluster.SortedKeys(m.Nodes) {
+		if id == c.node.ID() || c.node.Unheard(id) < int64(c.cfg.EvictAfter) {
+			continue
+		}
+		next := m.Clone()
+		delete(next.Nodes, id)
+		delete(next.Learners, id)
+		err := c.node.ChangeMembers(next)
+		if errors.Is(err, quorum.ErrMembersChange) {
+			return
+		}
+		c.cfg.Log.Info().Str("member", m.Nodes[id].Name).Uint64("node", uint64(id)).
+			Int64("silent-ms", c.node.Unheard(id)/1e6).Err(err).Msg("silent member removed")
+		return
+	}
+}
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/protocol/control"
@@ -24,11 +25,16 @@
 	return g, err
 }
 
-// Joined reports whether this instance has a vote.
-func (c *Core) Joined(ctx context.Context) (bool, error) {
-	joined := false
-	err := c.do(ctx, func() { joined = c.node.Members().Voter(c.node.ID()) })
-	return joined, err
+// memberTimeout is the time without a leader's message after which an instance
+// no longer counts on being a member: it may have been removed meanwhile. It
+// exceeds several elections.
+const memberTimeout = 2 * time.Second
+
+// Joined reports whether this instance has a vote, is known by the given name and
+// addresses, and hears of a leader.
+func (c *Core) Joined(self quorum.Peer) bool {
+	s := c.Snapshot()
+	return s.Members.Voter(s.Node) && s.Members.Nodes[s.Node] == self && c.now()-c.Synced() < int64(memberTimeout)
 }
 
 // Join takes one step towards a vote for an instance with a new disk: it becomes
@@ -48,11 +54,13 @@
 
 func (c *Core) joinStep(req *control.JoinRequest) error {
 	m := c.node.Members()
-	if m.Voter(req.Node) {
+	if m.Voter(req.Node) && m.Nodes[req.Node] == req.Peer {
 		return nil
 	}
 	next := m.Clone()
 	switch {
+	case m.Voter(req.Node):
+		next.Nodes[req.Node] = req.Peer
 	case !m.Learners[req.Node]:
 		next.Nodes[req.Node] = req.Peer
 		next.Learners[req.Node] = true
@@ -75,10 +83,11 @@
 	return ErrWait
 }
 
-// namesake returns another member of the joining instance's name, or zero.
+// namesake returns another member of the joining instance's name or address, or
+// zero.
 func namesake(m *quorum.Members, req *control.JoinRequest) quorum.NodeID {
 	for id, p := range m.Nodes {
-		if id != req.Node && p.Name == req.Peer.Name {
+		if id != req.Node && (p.Name == req.Peer.Name || p.Addr == req.Peer.Addr) {
 			return id
 		}
 	}
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -11,6 +11,8 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/core"
+	"catkinrail.example/catkinrail/control/follow"
+	"catkinrail.example/catkinrail/control/gossip"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/protocol/api"
@@ -25,12 +27,14 @@
 
 // Server implements the Control calls.
 type Server struct {
-	core *core.Core
+	core   *core.Core
+	dir    *gossip.Directory
+	follow *follow.Server
 }
 
-// New returns a server on top of the core.
-func New(c *core.Core) *Server {
-	return &Server{core: c}
+// New returns a server on top of the core and the directory.
+func New(c *core.Core, dir *gossip.Directory, f *follow.Server) *Server {
+	return &Server{core: c, dir: dir, follow: f}
 }
 
 var _ control.DRPCControlServer = (*Server)(nil)
@@ -103,6 +107,57 @@
 	return reply(r, coded(err))
 }
 
+// PutDocument implements control.DRPCControlServer.
+func (s *Server) PutDocument(ctx context.Context, f *control.Frame) (*control.Frame, error) {
+	if err := rpc.RequireRole(ctx, rpc.RoleControl); err != nil {
+		return nil, drpcerr.WithCode(err, uint64(api.Code_FORBIDDEN))
+	}
+	var change cluster.Change
+	if err := cluster.DecodeChange(f.GetBody(), &change); err != nil {
+		return nil, drpcerr.WithCode(err, uint64(api.Code_INVALID))
+	}
+	if len(change.Events) != 1 || change.Events[0].DocumentPut == nil {
+		return nil, drpcerr.WithCode(errNoDocument, uint64(api.Code_INVALID))
+	}
+	return &control.Frame{}, coded(s.core.PutDocument(ctx, change.Events[0].DocumentPut))
+}
+
+// errNoDocument reports a call without the document that it should put.
+var errNoDocument = errors.New("call holds no document")
+
+// ReadIndex implements control.DRPCControlServer.
+func (s *Server) ReadIndex(ctx context.Context, _ *control.Frame) (*control.Frame, error) {
+	if err := rpc.RequireRole(ctx, rpc.RoleControl); err != nil {
+		return nil, drpcerr.WithCode(err, uint64(api.Code_FORBIDDEN))
+	}
+	index, err := s.core.ReadIndex(ctx)
+	return reply(&control.ReadMark{Index: index}, coded(err))
+}
+
+// Gossip implements control.DRPCControlServer.
+func (s *Server) Gossip(ctx context.Context, f *control.Frame) (*control.Frame, error) {
+	var g control.Gossip
+	if err := open(ctx, f, &g, rpc.RoleControl); err != nil {
+		return nil, err
+	}
+	return reply(s.dir.Gossip(&g), nil)
+}
+
+// Follow implements control.DRPCControlServer.
+func (s *Server) Follow(f *control.Frame, stream control.DRPCControl_FollowStream) error {
+	var req control.FollowRequest
+	if err := open(stream.Context(), f, &req, rpc.RoleEntry); err != nil {
+		return err
+	}
+	return s.follow.Serve(stream.Context(), &req, func(u *control.FollowUpdate) error {
+		body, err := cluster.Encode(u)
+		if err != nil {
+			return err
+		}
+		return stream.Send(&control.Frame{Body: body})
+	})
+}
+
 // open checks the caller's role and decodes the frame.
 func open(ctx context.Context, f *control.Frame, v any, roles ...rpc.Role) error {
 	if err := rpc.RequireRole(ctx, roles...); err != nil {
--- /dev/null
+++ b/control/gossip/save.go
@@ -0,0 +1,82 @@
+package gossip
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"time"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/logs"
+	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/state/journal"
+)
+
+// saveInterval is the least time between two writes of the directory.
+const saveInterval = 200 * time.Millisecond
+
+// directoryFile is the name of the saved directory.
+const directoryFile = "directory"
+
+// load reads the saved directory. One that can't be read is left out: backend
+// servers report again within seconds.
+func (d *Directory) load() {
+	if d.cfg.Dir == nil {
+		return
+	}
+	names, err := d.cfg.Dir.List()
+	if err != nil {
+		d.cfg.Log.Warn(catkinrail.At(err, "read directory", "")).Msg("saved directory not used")
+		return
+	}
+	if !slices.Contains(names, directoryFile) {
+		return
+	}
+	var list []catkinrail.Incarnation
+	if err := journal.ReadRecord(d.cfg.Dir, directoryFile, &list); err != nil {
+		d.cfg.Log.Warn(catkinrail.At(err, "read directory", "")).Msg("saved directory not used")
+		return
+	}
+	now := d.now()
+	for i := range list {
+		d.dir.Report(&list[i], now, false)
+	}
+	d.cfg.Log.Info().Int("backends", len(list)).Msg("directory read from disk")
+}
+
+// save writes the directory after changes. It holds nobody up while the disk
+// does.
+func (d *Directory) save(ctx context.Context) error {
+	limiter := logs.NewLimiter(d.cfg.Clock, logInterval)
+	var saved []byte
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		list := d.dir.All(0)
+		changed := d.changed
+		d.mu.Unlock()
+		for i := range list {
+			// Renewals alone call for no write.
+			list[i].Sequence, list[i].Warmup = 0, 0
+		}
+		body, err := cluster.Encode(list)
+		if err == nil && !bytes.Equal(body, saved) {
+			if err = journal.WriteRecord(d.cfg.Dir, directoryFile, list); err == nil {
+				saved = body
+			}
+		}
+		if err != nil {
+			if skipped, ok := limiter.Allow(); ok {
+				d.cfg.Log.Warn(catkinrail.At(err, "write directory", "")).Uint64("skipped", skipped).Msg("directory not saved")
+			}
+		}
+		sleep(ctx, saveInterval)
+		if err != nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	return nil
+}
--- a/coordination/quorum/message.go
+++ b/coordination/quorum/message.go
@@ -48,6 +48,10 @@
 type Peer struct {
 	Name string `cbor:"1,keyasint"`
 	Addr string `cbor:"2,keyasint"`
+	// Zone is the availability zone, if the instance told it.
+	Zone string `cbor:"3,keyasint,omitempty"`
+	// Public is where backend servers and operators reach it, if anywhere.
+	Public string `cbor:"4,keyasint,omitempty"`
 }
 
 // Voter reports whether the node has a vote.
--- a/coordination/quorum/node.go
+++ b/coordination/quorum/node.go
@@ -68,7 +68,10 @@
 	now int64
 	// heard is the time of the last message from a leader, or of the start: a
 	// node that restarted may have promised a leader its time.
-	heard    int64
+	heard int64
+	// synced is the time of the last message of a leader that left nothing to
+	// fetch.
+	synced   int64
 	deadline int64
 	beat     int64
 	// elected is the time at which the node became leader.
@@ -88,6 +91,8 @@
 	acked int64
 	// installing is the time at which a snapshot was sent.
 	installing int64
+	// added is the time at which the node became known to the leader.
+	added int64
 }
 
 // Stored is what a node finds on its disk.
@@ -119,7 +124,7 @@
 	}
 	for id := range n.members.Nodes {
 		if n.progress[id] == nil {
-			n.progress[id] = &progress{next: n.log.last() + 1}
+			n.progress[id] = &progress{next: n.log.last() + 1, added: n.now}
 		}
 	}
 	for id := range n.progress {
--- a/coordination/quorum/replicate.go
+++ b/coordination/quorum/replicate.go
@@ -56,6 +56,7 @@
 	if m.Index < n.log.commit {
 		// Entries up to the commit index agree with every leader's.
 		answer.Index = n.log.commit
+		n.noteSynced(m)
 		n.send(answer)
 		return
 	}
@@ -71,9 +72,18 @@
 	}
 	answer.Index = m.Index + uint64(len(m.Entries))
 	n.log.commit = max(n.log.commit, min(m.Commit, answer.Index))
+	n.noteSynced(m)
 	n.send(answer)
 }
 
+// noteSynced notes that the node has all that the leader had committed when it
+// sent m.
+func (n *Node) noteSynced(m *Message) {
+	if n.log.commit >= m.Commit {
+		n.synced = n.now
+	}
+}
+
 // conflict returns an index at or before which the leader should look for
 // agreement: the last entry of an earlier term.
 func (n *Node) conflict(index uint64) uint64 {
--- /dev/null
+++ b/coordination/token/engine.go
@@ -0,0 +1,369 @@
+// Package token routes packets by the token that they carry: any entry instance
+// can forward any packet of an open flow without having seen the flow before.
+// Only the opening packets of a flow call for a choice. It is pure step logic;
+// times are passed in.
+package token
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/place"
+)
+
+// Action is what to do with a packet.
+type Action uint8
+
+// Actions.
+const (
+	// Drop means that the packet goes nowhere; the sender repeats it.
+	Drop Action = iota
+	// Forward means that the packet goes to the verdict's backend server.
+	Forward
+	// Refuse means that the caller is told at once that the flow doesn't exist.
+	Refuse
+)
+
+// String returns the name of the action.
+func (a Action) String() string {
+	return [...]string{"drop", "forward", "refuse"}[a]
+}
+
+// Reason says why a packet was dropped, refused or sent where it was.
+type Reason uint8
+
+// Reasons.
+const (
+	// ReasonPlaced is a new flow on the best backend server.
+	ReasonPlaced Reason = iota
+	// ReasonCopy is a copy of an opening packet to the same backend server.
+	ReasonCopy
+	// ReasonNext is a copy of an opening packet to another backend server,
+	// because the first left it unanswered.
+	ReasonNext
+	// ReasonToken is a packet that its token brings to its backend server.
+	ReasonToken
+	// ReasonNoRoute is an endpoint that the document doesn't have.
+	ReasonNoRoute
+	// ReasonStale is an endpoint that the document doesn't have, while the
+	// document may not be the newest.
+	ReasonStale
+	// ReasonNoBackend is a service without a backend server that takes new flows.
+	ReasonNoBackend
+	// ReasonUnknownToken is a token of no known backend server.
+	ReasonUnknownToken
+	// ReasonGone is a token of a backend server whose life has ended, its flows
+	// with it.
+	ReasonGone
+	// ReasonNoDocument is a packet before the first document.
+	ReasonNoDocument
+	numReasons
+)
+
+// String returns the name of the reason.
+func (r Reason) String() string {
+	names := [numReasons]string{
+		"placed", "copy", "next", "token", "no-route", "stale", "no-backend",
+		"unknown-token", "gone", "no-document",
+	}
+	if r >= numReasons {
+		return "unknown"
+	}
+	return names[r]
+}
+
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	list := make([]Reason, numReasons)
+	for i := range list {
+		list[i] = Reason(i)
+	}
+	return list
+}
+
+// Verdict is the decision about a packet.
+type Verdict struct {
+	Action Action
+	Reason Reason
+	// Backend is where a forwarded packet goes.
+	Backend *Backend
+}
+
+// Timing of decisions.
+const (
+	// copyGap is the time since an opening packet was passed on from which a copy
+	// means that it was left unanswered. Callers send the first copy after 200 ms;
+	// copies that waited here together come closer to each other.
+	copyGap = 120 * time.Millisecond
+	// currentSpan is the time since the last word of control for which the
+	// document counts as current: twice the longest pause between two updates.
+	currentSpan = time.Second
+	// flowTimeout is the time without a packet after which a flow is forgotten
+	// here. Its packets still go by their token.
+	flowTimeout = 20 * time.Second
+	// endGrace is the time after the end of a backend server's life from which the
+	// callers of its flows are told. It may still send its last packets when it
+	// says that it leaves.
+	endGrace = 2 * time.Second
+	// answerTimeout is the time after which a request counts no longer as
+	// waiting: its caller has given up.
+	answerTimeout = 5 * time.Second
+	// latencyShift sets the share of one request in the latency of a backend
+	// server to 1/8, which follows a change within some ten requests.
+	latencyShift = 3
+)
+
+// maxFlows bounds the flows that are remembered, at 200 bytes each.
+const maxFlows = 1 << 16
+
+// Backend is an incarnation with what this instance sees of it.
+type Backend struct {
+	catkinrail.Incarnation
+	token   catkinrail.Token
+	silent  bool
+	warm    int64
+	waiting int
+	flows   int
+	latency time.Duration
+	misses  int
+	missed  int64
+	// ended is the time at which its life was found to be over.
+	ended int64
+}
+
+// Token returns the token that packets to the backend server carry.
+func (b *Backend) Token() catkinrail.Token { return b.token }
+
+// Silent reports whether control hears nothing of the backend server.
+func (b *Backend) Silent() bool { return b.silent }
+
+// flow is what is remembered of a flow that was seen here.
+type flow struct {
+	backend *Backend
+	// first is the backend server that a copy was taken away from.
+	first *Backend
+	seq   uint32
+	// opened is the time at which the opening packet was last passed on.
+	opened int64
+	// open is set once the caller has answered the handshake.
+	open bool
+	// asked is the time of the request that waits, or zero.
+	asked int64
+	// sent and acked are the newest positions of the caller's packets.
+	sent, acked uint32
+	seen        int64
+}
+
+// Engine decides about packets. It isn't safe for concurrent use.
+type Engine struct {
+	zone     catkinrail.Zone
+	rng      *rand.Rand
+	document *catkinrail.Document
+	routes   map[netip.AddrPort]*catkinrail.Route
+	backends map[string]*Backend
+	tokens   map[catkinrail.Token]*Backend
+	services map[string][]*Backend
+	flows    map[catkinrail.FlowKey]*flow
+	// heard is the time of the last update of a current control instance.
+	heard      int64
+	candidates []place.Candidate
+}
+
+// New returns an engine without a document.
+func New(zone catkinrail.Zone, seed uint64) *Engine {
+	return &Engine{
+		zone: zone, rng: rand.New(rand.NewPCG(seed, uint64(len(zone)))),
+		routes:   map[netip.AddrPort]*catkinrail.Route{},
+		backends: map[string]*Backend{}, tokens: map[catkinrail.Token]*Backend{},
+		services: map[string][]*Backend{}, flows: map[catkinrail.FlowKey]*flow{},
+	}
+}
+
+// Decide returns what to do with a packet.
+func (e *Engine) Decide(p *catkinrail.TokenPacket, now int64) Verdict {
+	if e.document == nil {
+		return Verdict{Action: Drop, Reason: ReasonNoDocument}
+	}
+	if p.Opening {
+		return e.open(p, now)
+	}
+	b := e.tokens[p.Token]
+	if b == nil {
+		return Verdict{Action: Drop, Reason: ReasonUnknownToken}
+	}
+	if b.Gone && now-b.ended > int64(endGrace) {
+		if p.Reset {
+			return Verdict{Action: Drop, Reason: ReasonGone}
+		}
+		return Verdict{Action: Refuse, Reason: ReasonGone}
+	}
+	e.observe(p, b, now)
+	return Verdict{Action: Forward, Reason: ReasonToken, Backend: b}
+}
+
+// open decides about an opening packet.
+func (e *Engine) open(p *catkinrail.TokenPacket, now int64) Verdict {
+	if f := e.flows[p.Flow]; f != nil && f.seq == p.Seq && !f.backend.Gone {
+		return e.again(p, f, now)
+	}
+	listen := netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)
+	r := e.routes[listen]
+	if r == nil {
+		if now-e.heard > int64(currentSpan) {
+			return Verdict{Action: Drop, Reason: ReasonStale}
+		}
+		return Verdict{Action: Refuse, Reason: ReasonNoRoute}
+	}
+	b := e.place(r.Pick(e.rng.Uint64()), nil, now)
+	if b == nil {
+		if p.Copy > 0 {
+			// Another instance may have passed the first one on.
+			return Verdict{Action: Drop, Reason: ReasonNoBackend}
+		}
+		return Verdict{Action: Refuse, Reason: ReasonNoBackend}
+	}
+	e.remember(p, b, now)
+	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b}
+}
+
+// again decides about a copy of an opening packet.
+func (e *Engine) again(p *catkinrail.TokenPacket, f *flow, now int64) Verdict {
+	f.seen = now
+	if f.open || now-f.opened < int64(copyGap) {
+		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend}
+	}
+	f.opened = now
+	e.miss(f.backend, now)
+	next := e.place(f.backend.Service, f.backend, now)
+	if next == nil || next == f.first {
+		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend}
+	}
+	f.backend.flows--
+	f.first, f.backend = f.backend, next
+	next.flows++
+	return Verdict{Action: Forward, Reason: ReasonNext, Backend: next}
+}
+
+func (e *Engine) miss(b *Backend, now int64) {
+	b.misses++
+	b.missed = now
+}
+
+// place returns the backend server for a new flow, other than the one to avoid,
+// or nil if there is none.
+func (e *Engine) place(service string, avoid *Backend, now int64) *Backend {
+	list := e.services[service]
+	if len(list) == 0 {
+		return nil
+	}
+	e.candidates = e.candidates[:0]
+	for _, b := range list {
+		e.candidates = append(e.candidates, place.Candidate{
+			Slots: b.Slots, Waiting: b.waiting, Flows: b.flows, Latency: b.latency,
+			Warmup: time.Duration(max(0, b.warm-now)), Misses: b.misses, SinceMiss: time.Duration(now - b.missed),
+			Silent: b.silent, Draining: b.Draining || b == avoid, Local: b.Zone == e.zone,
+		})
+	}
+	i := place.Choose(e.candidates, e.rng.Uint64())
+	if i < 0 {
+		return nil
+	}
+	return list[i]
+}
+
+func (e *Engine) remember(p *catkinrail.TokenPacket, b *Backend, now int64) {
+	if old := e.flows[p.Flow]; old != nil {
+		e.forget(p.Flow, old)
+	}
+	if len(e.flows) >= maxFlows {
+		return
+	}
+	e.flows[p.Flow] = &flow{backend: b, seq: p.Seq, opened: now, sent: p.Seq, seen: now}
+	b.flows++
+}
+
+func (e *Engine) forget(key catkinrail.FlowKey, f *flow) {
+	f.backend.flows--
+	if f.asked != 0 {
+		f.backend.waiting--
+	}
+	delete(e.flows, key)
+}
+
+// observe learns from a packet of an open flow how its backend server does.
+func (e *Engine) observe(p *catkinrail.TokenPacket, b *Backend, now int64) {
+	f := e.flows[p.Flow]
+	if f == nil || f.backend != b {
+		f = e.adopt(p, b, f, now)
+		if f == nil {
+			return
+		}
+	}
+	f.seen = now
+	if !f.open {
+		f.open, f.acked = true, p.Ack
+		b.misses = 0
+	}
+	if int32(p.Ack-f.acked) > 0 {
+		f.acked = p.Ack
+		b.misses = 0
+		e.answered(f, now)
+	}
+	if end := p.Seq + uint32(p.Payload); p.Payload > 0 && int32(end-f.sent) > 0 {
+		f.sent = end
+		if f.asked == 0 {
+			b.waiting++
+		}
+		f.asked = now
+	}
+	if p.Closing || p.Reset {
+		e.forget(p.Flow, f)
+	}
+}
+
+// adopt remembers a flow that another instance opened, or that was found to be
+// on another backend server than assumed.
+func (e *Engine) adopt(p *catkinrail.TokenPacket, b *Backend, old *flow, now int64) *flow {
+	if old != nil {
+		e.forget(p.Flow, old)
+	}
+	if len(e.flows) >= maxFlows || p.Closing || p.Reset {
+		return nil
+	}
+	f := &flow{backend: b, open: true, seq: p.Seq, sent: p.Seq, acked: p.Ack, seen: now}
+	e.flows[p.Flow] = f
+	b.flows++
+	return f
+}
+
+// answered notes that the request in flight got its answer.
+func (e *Engine) answered(f *flow, now int64) {
+	if f.asked == 0 {
+		return
+	}
+	b := f.backend
+	took := time.Duration(now - f.asked)
+	f.asked = 0
+	b.waiting--
+	if b.latency == 0 {
+		b.latency = took
+		return
+	}
+	b.latency += (took - b.latency) >> latencyShift
+}
+
+// Tick forgets flows that are over. It should be called about once a second.
+func (e *Engine) Tick(now int64) {
+	for key, f := range e.flows {
+		if now-f.seen > int64(flowTimeout) {
+			e.forget(key, f)
+			continue
+		}
+		if f.asked != 0 && now-f.asked > int64(answerTimeout) {
+			f.asked = 0
+			f.backend.waiting--
+		}
+	}
+}
--- /dev/null
+++ b/coordination/token/update.go
@@ -0,0 +1,126 @@
+package token
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"catkinrail.example/catkinrail"
+)
+
+// Followed is an incarnation with what control has observed of it.
+type Followed struct {
+	catkinrail.Incarnation
+	Silent bool
+}
+
+// SetDocument takes a document and reports whether it is newer than the one in
+// force. An older one is never taken.
+func (e *Engine) SetDocument(d *catkinrail.Document) bool {
+	if e.document != nil && d.Version <= e.document.Version {
+		return false
+	}
+	e.document = d
+	e.routes = make(map[netip.AddrPort]*catkinrail.Route, len(d.Routes))
+	for i := range d.Routes {
+		e.routes[d.Routes[i].Listen] = &d.Routes[i]
+	}
+	return true
+}
+
+// Version returns the version of the document in force, or zero.
+func (e *Engine) Version() uint64 {
+	if e.document == nil {
+		return 0
+	}
+	return e.document.Version
+}
+
+// Heard notes an update of a control instance that is in touch with its leader.
+func (e *Engine) Heard(now int64) {
+	e.heard = now
+}
+
+// Age returns the age of the last update of a current control instance.
+func (e *Engine) Age(now int64) time.Duration {
+	return time.Duration(now - e.heard)
+}
+
+// Flows returns the number of flows that are remembered.
+func (e *Engine) Flows() int {
+	return len(e.flows)
+}
+
+// Update takes what control knows of backend servers and returns those that this
+// changed. What is older than what is known is passed over.
+func (e *Engine) Update(list []Followed, now int64) []*Backend {
+	var changed []*Backend
+	for i := range list {
+		in := &list[i]
+		b := e.backends[in.Name]
+		if b != nil && older(&in.Incarnation, &b.Incarnation) {
+			continue
+		}
+		if b != nil && b.Born == in.Born && in.Sequence < b.Sequence {
+			// The sender lags; only its own observation is new.
+			in.Incarnation = b.Incarnation
+		}
+		if b == nil || b.Born != in.Born {
+			// The flows of an earlier life have ended with it.
+			b = &Backend{}
+			e.backends[in.Name] = b
+		}
+		if b.Name == "" || b.Draining != in.Draining || b.Gone != in.Gone || b.silent != in.Silent {
+			changed = append(changed, b)
+		}
+		if in.Gone && !b.Gone {
+			b.ended = now
+		}
+		b.Incarnation, b.silent = in.Incarnation, in.Silent
+		b.token = in.Token()
+		b.warm = now + int64(in.Warmup)
+	}
+	if len(changed) > 0 {
+		e.index()
+	}
+	return changed
+}
+
+// older reports whether a comes before b, which has the same name.
+func older(a, b *catkinrail.Incarnation) bool {
+	if a.Born != b.Born {
+		return a.Born < b.Born
+	}
+	return b.Gone && !a.Gone
+}
+
+// index gives each token to the incarnation that was born first among those that
+// live, so that a token never changes its meaning under an open flow. An
+// incarnation whose token is taken gets no flows.
+func (e *Engine) index() {
+	list := make([]*Backend, 0, len(e.backends))
+	for _, b := range e.backends {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(a, b *Backend) int {
+		if a.Gone != b.Gone {
+			if a.Gone {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Name, b.Name))
+	})
+	clear(e.tokens)
+	clear(e.services)
+	for _, b := range list {
+		if e.tokens[b.token] != nil {
+			continue
+		}
+		e.tokens[b.token] = b
+		if !b.Gone {
+			e.services[b.Service] = append(e.services[b.Service], b)
+		}
+	}
+}
--- /dev/null
+++ b/document.go
@@ -0,0 +1,132 @@
+package catkinrail
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// RequestKind says whether the requests of a route may be repeated.
+type RequestKind string
+
+// Kinds of requests.
+const (
+	// KindSafe requests are idempotent and short.
+	KindSafe RequestKind = "safe"
+	// KindUnsafe requests may run once at most.
+	KindUnsafe RequestKind = "unsafe"
+	// KindDownload requests are idempotent and have long answers.
+	KindDownload RequestKind = "download"
+)
+
+// Target is a service that a route sends a share of its new flows to.
+type Target struct {
+	Service string `cbor:"1,keyasint"`
+	// Weight is the share, relative to the route's other targets.
+	Weight int `cbor:"2,keyasint,omitempty"`
+}
+
+// Route sends the new flows of an endpoint to services.
+type Route struct {
+	Name   string         `cbor:"1,keyasint"`
+	Listen netip.AddrPort `cbor:"2,keyasint"`
+	Kind   RequestKind    `cbor:"3,keyasint,omitempty"`
+	// Timeout is how long a caller waits for an answer.
+	Timeout time.Duration `cbor:"4,keyasint,omitempty"`
+	// LatencyTarget is the time within which an answer has its full worth.
+	LatencyTarget time.Duration `cbor:"5,keyasint,omitempty"`
+	Targets       []Target      `cbor:"6,keyasint"`
+}
+
+// Document is a complete configuration that an operator puts as a whole.
+type Document struct {
+	Version uint64  `cbor:"1,keyasint"`
+	Routes  []Route `cbor:"2,keyasint"`
+	// Services are the names that routes may use.
+	Services []string `cbor:"3,keyasint"`
+	// IdleTimeout is the time without a packet after which a flow may be
+	// forgotten.
+	IdleTimeout time.Duration `cbor:"4,keyasint,omitempty"`
+	// Source is the document as the operator sent it, for reading it back.
+	Source []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// maxWeightSum bounds the sum of a route's weights.
+const maxWeightSum = 1 << 30
+
+// Validate returns a FieldError for the first wrong field, or nil.
+func (d *Document) Validate() error {
+	if d.Version == 0 {
+		return &FieldError{Field: "version", Reason: "must be greater than 0"}
+	}
+	services := map[string]bool{}
+	for i, name := range d.Services {
+		field := fmt.Sprintf("services[%d].name", i)
+		if name == "" {
+			return &FieldError{Field: field, Reason: "is missing"}
+		}
+		if services[name] {
+			return &FieldError{Field: field, Reason: fmt.Sprintf("%q is named twice", name)}
+		}
+		services[name] = true
+	}
+	listens := map[netip.AddrPort]string{}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.validate(fmt.Sprintf("routes[%d]", i), services); err != nil {
+			return err
+		}
+		if other, ok := listens[r.Listen]; ok {
+			return &FieldError{Field: fmt.Sprintf("routes[%d]", i), Reason: fmt.Sprintf("%s is taken by route %q", r.Listen, other)}
+		}
+		listens[r.Listen] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) validate(field string, services map[string]bool) error {
+	switch r.Kind {
+	case KindSafe, KindUnsafe, KindDownload:
+	default:
+		return &FieldError{Field: field + ".kind", Reason: fmt.Sprintf("%q is not a kind of request", r.Kind)}
+	}
+	if !r.Listen.IsValid() || r.Listen.Port() == 0 {
+		return &FieldError{Field: field, Reason: fmt.Sprintf("%s is not an address and a port", r.Listen)}
+	}
+	if r.Timeout <= 0 {
+		return &FieldError{Field: field + ".timeout", Reason: fmt.Sprintf("%s is not positive", r.Timeout)}
+	}
+	if len(r.Targets) == 0 {
+		return &FieldError{Field: field, Reason: "names no service"}
+	}
+	sum := 0
+	for _, t := range r.Targets {
+		if !services[t.Service] {
+			return &FieldError{Field: field, Reason: fmt.Sprintf("service %q is not defined", t.Service)}
+		}
+		if t.Weight < 0 || t.Weight > maxWeightSum {
+			return &FieldError{Field: field, Reason: fmt.Sprintf("weight %d of service %q is out of range", t.Weight, t.Service)}
+		}
+		sum += t.Weight
+	}
+	if sum <= 0 || sum > maxWeightSum {
+		return &FieldError{Field: field, Reason: "weights have no usable sum"}
+	}
+	return nil
+}
+
+// Pick returns the service that a new flow with the given hash goes to.
+func (r *Route) Pick(hash uint64) string {
+	sum := 0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	at := int(hash % uint64(sum))
+	for _, t := range r.Targets {
+		if at < t.Weight {
+			return t.Service
+		}
+		at -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- a/entry/cmd/catkinrail-entry/daemon.go
+++ b/entry/cmd/catkinrail-entry/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -136,9 +137,7 @@
 // still comes, and returns when nothing does, at the deadline, or at a second
 // signal.
 func (d *daemon) awaitShutdown(ctx context.Context, signals <-chan os.Signal) {
-	select {
-	case <-signals:
-	case <-ctx.Done():
+	if !awaitEnd(ctx, signals) {
 		return
 	}
 	d.log.Info().Msg("leaving")
@@ -169,6 +168,21 @@
 	}
 }
 
+// awaitEnd waits for a signal to end. Others are passed over. It returns false
+// if ctx ends first.
+func awaitEnd(ctx context.Context, signals <-chan os.Signal) bool {
+	for {
+		select {
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // farewell gives the client time to report that the instance has left.
 func (d *daemon) farewell(ctx context.Context) {
 	d.client.Left()
--- /dev/null
+++ b/entry/follow/client.go
@@ -0,0 +1,270 @@
+// Package follow keeps an entry instance up to date with what control knows, by
+// a stream from one control instance, of its own availability zone if it can.
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"storj.io/drpc"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/coordination/token"
+	"catkinrail.example/catkinrail/entry/packet"
+	"catkinrail.example/catkinrail/logs"
+	"catkinrail.example/catkinrail/protocol/control"
+	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/transport/rpc"
+)
+
+// Timing of the stream.
+const (
+	// silentAfter is the time without an update after which the stream is given
+	// up: control sends one each 400 ms.
+	silentAfter = time.Second
+	// staleAfter is how long a control instance may be out of touch with its
+	// leader before another is tried: an election or two.
+	staleAfter = 1200 * time.Millisecond
+	// returnAfter is the time after which the control instance of the own zone is
+	// tried again.
+	returnAfter = 5 * time.Second
+	// minBackoff and maxBackoff bound the time between attempts that failed. They
+	// are short: after a loss of everything, service waits for this.
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = 160 * time.Millisecond
+	// streamTimeout bounds a stream's life.
+	streamTimeout = 24 * time.Hour
+)
+
+// Client follows control.
+type Client struct {
+	name   string
+	zone   catkinrail.Zone
+	creds  *rpc.Credentials
+	clock  catkinrail.Clock
+	router *packet.Router
+	log    *logs.Logger
+	synced atomic.Bool
+
+	mu    sync.Mutex
+	seeds []string
+	peers []quorum.Peer
+	// at is the number of the next attempt among all that are not of this zone.
+	at int
+}
+
+// New returns a client that finds control through the seeds.
+func New(name string, zone catkinrail.Zone, seeds []string, creds *rpc.Credentials, clock catkinrail.Clock, r *packet.Router, log *logs.Logger) *Client {
+	return &Client{name: name, zone: zone, seeds: seeds, creds: creds, clock: clock, router: r, log: log, at: rand.IntN(max(1, len(seeds)))}
+}
+
+// SetSeeds replaces the seeds.
+func (c *Client) SetSeeds(seeds []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+}
+
+// Ready reports whether the instance has had a current document and a whole
+// directory since its start.
+func (c *Client) Ready() bool {
+	return c.synced.Load()
+}
+
+// Run follows control until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	backoff := minBackoff
+	avoidOwn := false
+	for ctx.Err() == nil {
+		addr, own := c.choose(avoidOwn)
+		s := &session{client: c, addr: addr, own: own}
+		err := s.run(ctx)
+		avoidOwn = own && !s.useful
+		if s.updates > 0 {
+			backoff = minBackoff
+		}
+		if ctx.Err() != nil || s.moved {
+			continue
+		}
+		if s.updates > 0 {
+			c.log.Warn(err).Str("control", addr).Int("updates", s.updates).Msg("control instance lost")
+		}
+		wait(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return nil
+}
+
+func wait(ctx context.Context, span time.Duration) {
+	t := time.NewTimer(span)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// choose returns the control instance to follow: that of the own zone, or one
+// after the other if it is to be avoided.
+func (c *Client) choose(avoidOwn bool) (addr string, own bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr := c.ownZone(); addr != "" && !avoidOwn {
+		return addr, true
+	}
+	var list []string
+	for _, p := range c.peers {
+		list = append(list, p.Addr)
+	}
+	for _, seed := range c.seeds {
+		if !slices.Contains(list, seed) {
+			list = append(list, seed)
+		}
+	}
+	c.at++
+	addr = list[c.at%len(list)]
+	return addr, addr == c.ownZone()
+}
+
+// ownZone returns a control instance of the own zone, or an empty string. The
+// caller holds mu.
+func (c *Client) ownZone() string {
+	for _, p := range c.peers {
+		if p.Zone == string(c.zone) {
+			return p.Addr
+		}
+	}
+	return ""
+}
+
+func (c *Client) setPeers(peers []quorum.Peer) {
+	if len(peers) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers = peers
+}
+
+// better reports whether the control instance of the own zone is another one.
+func (c *Client) better(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	own := c.ownZone()
+	return own != "" && own != addr
+}
+
+// session is one stream.
+type session struct {
+	client  *Client
+	addr    string
+	own     bool
+	began   time.Time
+	updates int
+	// current is the time of the last update of an instance in touch with its
+	// leader.
+	current time.Time
+	useful  bool
+	// moved is set if the stream was ended for a better one.
+	moved bool
+}
+
+func (s *session) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silent := time.AfterFunc(silentAfter, cancel)
+	defer silent.Stop()
+	s.began = s.client.clock.Now()
+	s.current = s.began
+	cl := rpc.NewClient(s.addr, s.client.creds)
+	defer cl.Close()
+	return cl.Call(ctx, "follow", streamTimeout, func(ctx context.Context, conn drpc.Conn) error {
+		var have uint64
+		s.client.router.Do(func(e *token.Engine, _ int64) { have = e.Version() })
+		body, err := cluster.Encode(&control.FollowRequest{Name: s.client.name, Zone: s.client.zone, Document: have})
+		if err != nil {
+			return err
+		}
+		stream, err := control.NewDRPCControlClient(conn).Follow(ctx, &control.Frame{Body: body})
+		if err != nil {
+			return err
+		}
+		for {
+			f, err := stream.Recv()
+			if err != nil {
+				return err
+			}
+			silent.Reset(silentAfter)
+			var u control.FollowUpdate
+			if err := cluster.Decode(f.GetBody(), &u); err != nil {
+				return err
+			}
+			s.take(&u)
+			if s.leave() {
+				cancel()
+				return nil
+			}
+		}
+	})
+}
+
+// leave reports whether another control instance should be followed.
+func (s *session) leave() bool {
+	now := s.client.clock.Now()
+	if now.Sub(s.current) > staleAfter {
+		s.client.log.Info().Str("control", s.addr).Dur("age", now.Sub(s.current)).Msg("control instance is out of touch")
+		s.moved = true
+		return true
+	}
+	if !s.own && s.updates == 1 && s.client.better(s.addr) || now.Sub(s.began) > returnAfter && s.client.better(s.addr) {
+		s.moved = true
+		return true
+	}
+	return false
+}
+
+// take hands an update to the engine.
+func (s *session) take(u *control.FollowUpdate) {
+	c := s.client
+	s.updates++
+	c.setPeers(u.Peers)
+	if u.Current {
+		s.current, s.useful = c.clock.Now(), true
+	}
+	list := make([]token.Followed, len(u.Backends))
+	for i := range u.Backends {
+		list[i] = token.Followed{Incarnation: u.Backends[i].Incarnation, Silent: u.Backends[i].Silent}
+	}
+	var changed []*token.Backend
+	var version uint64
+	newer := false
+	c.router.Do(func(e *token.Engine, now int64) {
+		changed = e.Update(list, now)
+		if u.Document != nil {
+			newer = e.SetDocument(u.Document)
+		}
+		version = e.Version()
+		if u.Current {
+			e.Heard(now)
+		}
+	})
+	if newer {
+		c.log.Info().Uint64("version", version).Str("control", s.addr).Msg("document in force")
+	}
+	for _, b := range changed {
+		c.log.Info().Str("backend", b.Name).Str("service", b.Service).Stringer("address", b.Addr).Int64("born", b.Born).
+			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Gone).Bool("silent", b.Silent()).
+			Str("control", s.addr).Msg("backend server changed")
+	}
+	if s.updates == 1 {
+		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
+	}
+	if version > 0 && u.Current && !c.synced.Swap(true) {
+		c.log.Info().Uint64("version", version).Int("backends", len(list)).Msg("ready")
+	}
+}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -2,11 +2,13 @@
 package logs
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"catkinrail.example/catkinrail"
 )
@@ -14,6 +16,30 @@
 // Logger writes structured lines.
 type Logger struct {
 	z zerolog.Logger
+	w io.Closer
+}
+
+// ringLines is the number of lines that wait for a slow reader before new ones
+// replace them.
+const ringLines = 2048
+
+// NewRing returns a logger like New's that never waits for w: lines that w does
+// not take in time are lost and counted.
+func NewRing(w io.Writer, s Settings, program, instance string) *Logger {
+	ring := diode.NewWriter(w, ringLines, 0, func(missed int) {
+		fmt.Fprintf(w, `{"level":"warn","program":%q,"instance":%q,"lost":%d,"message":"log lines lost"}`+"\n", program, instance, missed)
+	})
+	l := New(ring, s, program, instance)
+	l.w = ring
+	return l
+}
+
+// Close writes what waits.
+func (l *Logger) Close() error {
+	if l.w == nil {
+		return nil
+	}
+	return l.w.Close()
 }
 
 // Settings are the settings of a program's log.
@@ -104,3 +130,37 @@
 	skipped, l.skipped = l.skipped, 0
 	return skipped, true
 }
+
+// Budget lets a number of log lines through in every second and counts the
+// others, so that the volume stays bounded under load.
+type Budget struct {
+	clock catkinrail.Clock
+	lines int
+
+	mu      sync.Mutex
+	second  int64
+	used    int
+	skipped uint64
+}
+
+// NewBudget returns a budget of so many lines a second.
+func NewBudget(clock catkinrail.Clock, lines int) *Budget {
+	return &Budget{clock: clock, lines: lines}
+}
+
+// Allow reports whether a line may be written now, and how many were not since
+// the last one.
+func (b *Budget) Allow() (skipped uint64, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now := b.clock.Now().Unix(); now != b.second {
+		b.second, b.used = now, 0
+	}
+	if b.used >= b.lines {
+		b.skipped++
+		return 0, false
+	}
+	b.used++
+	skipped, b.skipped = b.skipped, 0
+	return skipped, true
+}
--- a/protocol/control/messages.go
+++ b/protocol/control/messages.go
@@ -74,3 +74,64 @@
 	// Unregistered says that the instance isn't registered any more.
 	Unregistered bool `cbor:"5,keyasint,omitempty"`
 }
+
+// ReadMark names the entry that an instance must have applied before it answers
+// a read that began before the mark was taken.
+type ReadMark struct {
+	Index uint64 `cbor:"1,keyasint"`
+}
+
+// Pulse renews the report of an incarnation that the receiver knows.
+type Pulse struct {
+	Name     string `cbor:"1,keyasint"`
+	Born     int64  `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
+}
+
+// Gossip is what a control instance tells another about backend servers.
+type Gossip struct {
+	// Changed are incarnations whose state has changed.
+	Changed []catkinrail.Incarnation `cbor:"1,keyasint,omitempty"`
+	Pulses  []Pulse                  `cbor:"2,keyasint,omitempty"`
+	// Digest is a hash of the sender's directory; zero asks for no comparison.
+	Digest uint64 `cbor:"3,keyasint,omitempty"`
+	// Full says that Changed is the sender's whole directory, and asks for the
+	// receiver's.
+	Full bool `cbor:"4,keyasint,omitempty"`
+}
+
+// GossipReply answers a Gossip.
+type GossipReply struct {
+	// Differs says that the directories' digests differ.
+	Differs bool `cbor:"1,keyasint,omitempty"`
+	// All is the receiver's directory, in answer to a full one.
+	All []catkinrail.Incarnation `cbor:"2,keyasint,omitempty"`
+}
+
+// FollowRequest begins a stream of updates to an entry instance.
+type FollowRequest struct {
+	Name string          `cbor:"1,keyasint"`
+	Zone catkinrail.Zone `cbor:"2,keyasint,omitempty"`
+	// Document is the version of the document that the entry instance has.
+	Document uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// FollowedBackend is an incarnation with what control has observed of it.
+type FollowedBackend struct {
+	catkinrail.Incarnation
+	// Silent is set while it doesn't report.
+	Silent bool `cbor:"20,keyasint,omitempty"`
+}
+
+// FollowUpdate is what an entry instance hears of a control instance.
+type FollowUpdate struct {
+	// Document is set if it is newer than the one sent before.
+	Document *catkinrail.Document `cbor:"1,keyasint,omitempty"`
+	Backends []FollowedBackend    `cbor:"2,keyasint,omitempty"`
+	// Peers are the control instances.
+	Peers []quorum.Peer `cbor:"3,keyasint,omitempty"`
+	// Current says that the sender is in touch with the leader.
+	Current bool `cbor:"4,keyasint,omitempty"`
+	// Synced says that the sender's whole directory has been sent.
+	Synced bool `cbor:"5,keyasint,omitempty"`
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,7 +44,17 @@
 
 // Parse is Load for the contents of a file.
 func Parse(file string, b []byte, cfg Section) error {
-	if err := decode(b, cfg, yaml.Strict()); err != nil {
+	return parseWith(file, b, cfg, yaml.Strict())
+}
+
+// ParseOpen is Parse for a format that may gain keys: those that cfg doesn't
+// know are passed over.
+func ParseOpen(file string, b []byte, cfg Section) error {
+	return parseWith(file, b, cfg)
+}
+
+func parseWith(file string, b []byte, cfg Section, opts ...yaml.DecodeOption) error {
+	if err := decode(b, cfg, opts...); err != nil {
 		return &Error{File: file, Lines: []string{decodeLine(file, b, cfg, err)}}
 	}
 	fields := cfg.Validate()
--- a/state/cluster/codec.go
+++ b/state/cluster/codec.go
@@ -1,7 +1,10 @@
 package cluster
 
 import (
+	"bytes"
+	"compress/flate"
 	"fmt"
+	"io"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -69,3 +72,46 @@
 	}
 	return c, nil
 }
+
+// Packing of large changes, which repeat themselves much.
+const (
+	// packedMark begins a packed change; no CBOR map begins with it.
+	packedMark = 0x00
+	// packFrom is the size in bytes from which a change is packed.
+	packFrom = 512
+	// maxUnpacked bounds a change in bytes once unpacked.
+	maxUnpacked = 64 << 20
+)
+
+// EncodeChange returns the encoding of a change for the log.
+func EncodeChange(c *Change) ([]byte, error) {
+	b, err := Encode(c)
+	if err != nil || len(b) < packFrom {
+		return b, err
+	}
+	var out bytes.Buffer
+	out.WriteByte(packedMark)
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("pack change: %w", err)
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, fmt.Errorf("pack change: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("pack change: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// DecodeChange reads what EncodeChange has written.
+func DecodeChange(b []byte, c *Change) error {
+	if len(b) == 0 || b[0] != packedMark {
+		return Decode(b, c)
+	}
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b[1:])), maxUnpacked))
+	if err != nil {
+		return fmt.Errorf("unpack change: %w", err)
+	}
+	return Decode(plain, c)
+}
--- a/state/cluster/event.go
+++ b/state/cluster/event.go
@@ -25,6 +25,8 @@
 	ZoneLost        *ZoneLost             `cbor:"12,keyasint,omitempty"`
 	// Released names an endpoint whose quarantine has ended.
 	Released string `cbor:"13,keyasint,omitempty"`
+	// DocumentPut replaces the operators' document.
+	DocumentPut *catkinrail.Document `cbor:"14,keyasint,omitempty"`
 }
 
 // ServicePut creates a service or changes its configuration.
--- a/state/cluster/state.go
+++ b/state/cluster/state.go
@@ -29,6 +29,9 @@
 	// Quarantine gives, for the endpoint of a deleted service, the version of
 	// its deletion.
 	Quarantine map[string]uint64 `cbor:"12,keyasint,omitempty"`
+	// Document is the operators' document, nil before the first. It is never
+	// changed in place.
+	Document *catkinrail.Document `cbor:"13,keyasint,omitempty"`
 }
 
 // New returns the empty state at version zero.
@@ -124,6 +127,8 @@
 		s.setZoneLost(e.ZoneLost)
 	case e.Released != "":
 		delete(s.Quarantine, e.Released)
+	case e.DocumentPut != nil:
+		s.Document = e.DocumentPut
 	}
 }
 
--- /dev/null
+++ b/state/directory/directory.go
@@ -0,0 +1,295 @@
+// Package directory keeps what control knows of backend servers: a map that
+// takes the last writer by birth and sequence, so that instances agree without
+// a leader once they have heard the same reports in any order.
+package directory
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"catkinrail.example/catkinrail"
+)
+
+// entry is an incarnation with what this instance observed of it.
+type entry struct {
+	inc catkinrail.Incarnation
+	// heard is the time of the newest report, in nanoseconds of the clock.
+	heard int64
+	// warm is the time at which its warm-up ends.
+	warm   int64
+	silent bool
+	// revision is that of the last change that others must hear of.
+	revision uint64
+	// pulse is the revision of the last report.
+	pulse uint64
+	// local is set if the last change came from the backend server itself.
+	local bool
+}
+
+// Limits of what is kept.
+const (
+	// forgetAfter is how long an incarnation that is gone or silent is kept. It
+	// exceeds the age of any flow that may still name it.
+	forgetAfter = 10 * time.Minute
+	// maxEntries bounds the directory, above the planned 4,800 backend servers
+	// with a day's replacements.
+	maxEntries = 1 << 15
+)
+
+// Directory isn't safe for concurrent use.
+type Directory struct {
+	silentAfter int64
+	entries     map[string]*entry
+	byAddr      map[netip.AddrPort]string
+	revision    uint64
+}
+
+// New returns an empty directory. A backend server that has not reported for
+// silentAfter counts as silent.
+func New(silentAfter time.Duration) *Directory {
+	return &Directory{
+		silentAfter: int64(silentAfter), entries: map[string]*entry{}, byAddr: map[netip.AddrPort]string{},
+	}
+}
+
+// Outcome says what a report did.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Ignored reports were older than what is known, or can't be taken.
+	Ignored Outcome = iota
+	// Renewed reports changed nothing but the time.
+	Renewed
+	// Changed reports changed what others must hear of.
+	Changed
+)
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	return [...]string{"ignored", "renewed", "changed"}[o]
+}
+
+// newer reports whether a replaces b, which has the same name.
+func newer(a, b *catkinrail.Incarnation) bool {
+	if a.Born != b.Born {
+		return a.Born > b.Born
+	}
+	if a.Gone != b.Gone {
+		return a.Gone
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Report takes a report, from the backend server itself if local is set.
+func (d *Directory) Report(inc *catkinrail.Incarnation, now int64, local bool) Outcome {
+	old := d.entries[inc.Name]
+	if old != nil && !newer(inc, &old.inc) {
+		return Ignored
+	}
+	if old == nil && len(d.entries) >= maxEntries {
+		return Ignored
+	}
+	same := old != nil && sameState(&old.inc, inc) && !old.silent
+	if old == nil {
+		old = &entry{}
+		d.entries[inc.Name] = old
+	}
+	old.inc = *inc
+	old.heard, old.local, old.silent = now, local, false
+	old.warm = now + int64(inc.Warmup)
+	d.revision++
+	old.pulse = d.revision
+	if same {
+		return Renewed
+	}
+	old.revision = d.revision
+	d.settleAddr(inc)
+	return Changed
+}
+
+func sameState(a, b *catkinrail.Incarnation) bool {
+	return a.Born == b.Born && a.Gone == b.Gone && a.Draining == b.Draining && a.Addr == b.Addr &&
+		a.Service == b.Service && a.Slots == b.Slots && a.Zone == b.Zone
+}
+
+// settleAddr ends the life of an incarnation whose address a later one has: the
+// address is free again only after its earlier holder has ended.
+func (d *Directory) settleAddr(inc *catkinrail.Incarnation) {
+	if inc.Gone {
+		return
+	}
+	other := d.entries[d.byAddr[inc.Addr]]
+	if other == nil || other.inc.Name == inc.Name || other.inc.Addr != inc.Addr {
+		d.byAddr[inc.Addr] = inc.Name
+		return
+	}
+	if d.entries[inc.Name].later(other) {
+		d.byAddr[inc.Addr] = inc.Name
+		d.end(other)
+		return
+	}
+	d.end(d.entries[inc.Name])
+}
+
+// later orders two incarnations that hold the same address.
+func (e *entry) later(other *entry) bool {
+	if c := cmp.Compare(e.inc.Born, other.inc.Born); c != 0 {
+		return c > 0
+	}
+	return e.inc.Name > other.inc.Name
+}
+
+func (d *Directory) end(e *entry) {
+	if e.inc.Gone {
+		return
+	}
+	e.inc.Gone = true
+	d.revision++
+	e.revision, e.pulse = d.revision, d.revision
+}
+
+// Leave ends an incarnation. If born is zero, it ends the one that is known.
+func (d *Directory) Leave(name string, born, now int64) Outcome {
+	e := d.entries[name]
+	if e == nil || e.inc.Gone || (born != 0 && born < e.inc.Born) {
+		return Ignored
+	}
+	e.inc.Born = max(e.inc.Born, born)
+	e.heard, e.local = now, true
+	d.end(e)
+	return Changed
+}
+
+// Pulse takes a renewal that another instance passes on. It returns false if the
+// incarnation isn't known here.
+func (d *Directory) Pulse(name string, born int64, sequence uint64, now int64) bool {
+	e := d.entries[name]
+	if e == nil || e.inc.Born < born {
+		return false
+	}
+	if e.inc.Born != born || e.inc.Gone || e.inc.Sequence >= sequence {
+		return true
+	}
+	e.inc.Sequence = sequence
+	e.heard = now
+	if e.silent {
+		e.silent = false
+		d.revision++
+		e.revision = d.revision
+	}
+	return true
+}
+
+// Tick notes who has fallen silent and forgets what is long over. It returns the
+// names of those whose silence began.
+func (d *Directory) Tick(now int64) []string {
+	var silent []string
+	for name, e := range d.entries {
+		age := now - e.heard
+		if (e.inc.Gone || e.silent) && age > int64(forgetAfter) {
+			delete(d.entries, name)
+			if d.byAddr[e.inc.Addr] == name {
+				delete(d.byAddr, e.inc.Addr)
+			}
+			continue
+		}
+		if !e.silent && !e.inc.Gone && age > d.silentAfter {
+			e.silent = true
+			d.revision++
+			e.revision = d.revision
+			silent = append(silent, name)
+		}
+	}
+	slices.Sort(silent)
+	return silent
+}
+
+// Shift moves the time of every report by the span for which this instance could
+// not hear any.
+func (d *Directory) Shift(span int64) {
+	for _, e := range d.entries {
+		e.heard += span
+	}
+}
+
+// Revision returns the number of the last change or renewal.
+func (d *Directory) Revision() uint64 {
+	return d.revision
+}
+
+// View is an incarnation with what was observed of it.
+type View struct {
+	catkinrail.Incarnation
+	Silent bool
+	// Heard is the time of its last report, in nanoseconds of the clock.
+	Heard int64
+}
+
+func (e *entry) view(now int64) View {
+	v := View{Incarnation: e.inc, Silent: e.silent, Heard: e.heard}
+	v.Warmup = time.Duration(max(0, e.warm-now))
+	return v
+}
+
+// Since returns what has changed after a revision, in order of name.
+func (d *Directory) Since(revision uint64, now int64) []View {
+	var list []View
+	for _, name := range slices.Sorted(maps.Keys(d.entries)) {
+		if e := d.entries[name]; e.revision > revision {
+			list = append(list, e.view(now))
+		}
+	}
+	return list
+}
+
+// Heard returns what backend servers said to this instance itself after a
+// revision: what has changed, and what was merely renewed.
+func (d *Directory) Heard(revision uint64, now int64) (changed []catkinrail.Incarnation, renewed []catkinrail.Incarnation) {
+	for _, e := range d.entries {
+		switch {
+		case !e.local || e.pulse <= revision:
+		case e.revision > revision:
+			changed = append(changed, e.view(now).Incarnation)
+		default:
+			renewed = append(renewed, e.inc)
+		}
+	}
+	return changed, renewed
+}
+
+// All returns every incarnation, in order of name.
+func (d *Directory) All(now int64) []catkinrail.Incarnation {
+	var list []catkinrail.Incarnation
+	for _, v := range d.Since(0, now) {
+		list = append(list, v.Incarnation)
+	}
+	return list
+}
+
+// Digest returns a hash of what instances must agree on. It doesn't depend on
+// the order in which reports came.
+func (d *Directory) Digest() uint64 {
+	sum := uint64(1)
+	var b []byte
+	for name, e := range d.entries {
+		b = append(b[:0], name...)
+		b = binary.LittleEndian.AppendUint64(b, uint64(e.inc.Born))
+		b = append(b, boolByte(e.inc.Gone), boolByte(e.inc.Draining))
+		sum ^= xxh3.Hash(b)
+	}
+	return sum
+}
+
+func boolByte(v bool) byte {
+	if v {
+		return 1
+	}
+	return 0
+}
--- a/state/journal/identity.go
+++ b/state/journal/identity.go
@@ -29,26 +29,40 @@
 		}
 		return nil, nil
 	}
-	b, err := dir.Read(identityFile)
+	id := &Identity{}
+	if err := ReadRecord(dir, identityFile, id); err != nil {
+		return nil, err
+	}
+	return id, nil
+}
+
+// ReadRecord reads a file that holds one record into v.
+func ReadRecord(dir catkinrail.Dir, name string, v any) error {
+	b, err := dir.Read(name)
 	if err != nil {
-		return nil, fmt.Errorf("read %s: %w", identityFile, err)
+		return fmt.Errorf("read %s: %w", name, err)
 	}
 	payload, _, reason := parseFrame(b)
 	if reason != "" {
-		return nil, &DamageError{File: identityFile, Reason: reason}
+		return &DamageError{File: name, Reason: reason}
 	}
-	id := &Identity{}
-	if err := cluster.Decode(payload, id); err != nil {
-		return nil, &DamageError{File: identityFile, Reason: err.Error()}
+	if err := cluster.Decode(payload, v); err != nil {
+		return &DamageError{File: name, Reason: err.Error()}
 	}
-	return id, nil
+	return nil
 }
 
-// SaveIdentity gives a new folder its identity.
-func SaveIdentity(dir catkinrail.Dir, id *Identity) error {
-	payload, err := cluster.Encode(id)
+// WriteRecord writes a file that holds one record. After a crash the file holds
+// the earlier record or this one.
+func WriteRecord(dir catkinrail.Dir, name string, v any) error {
+	payload, err := cluster.Encode(v)
 	if err != nil {
 		return err
 	}
-	return writeFile(dir, identityFile, appendFrame(nil, payload))
+	return writeFile(dir, name, appendFrame(nil, payload))
+}
+
+// SaveIdentity gives a new folder its identity.
+func SaveIdentity(dir catkinrail.Dir, id *Identity) error {
+	return WriteRecord(dir, identityFile, id)
 }
--- a/transport/rpc/rpc.go
+++ b/transport/rpc/rpc.go
@@ -34,7 +34,7 @@
 // ErrInsecure reports a listener without TLS on an address that isn't loopback.
 var ErrInsecure = errors.New("TLS is off and the address is not loopback")
 
-// Listen opens a listener for calls, with TLS unless creds is nil.
+// Listen opens a listener for calls, with TLS unless the settings turn it off.
 func Listen(ctx context.Context, addr string, creds *Credentials) (net.Listener, error) {
 	if creds == nil && !loopback(addr) {
 		return nil, catkinrail.At(ErrInsecure, "listen", addr)
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, catkinrail.At(err, "listen", addr)
 	}
-	if creds == nil {
+	if creds.plain() {
 		return l, nil
 	}
 	return tls.NewListener(l, creds.server()), nil
@@ -174,7 +174,7 @@
 		return nil, fmt.Errorf("dial: %w", err)
 	}
 	nc = &countingConn{Conn: nc, client: c}
-	if c.creds != nil {
+	if !c.creds.plain() {
 		cfg, err := c.creds.client()
 		if err != nil {
 			nc.Close()
--- a/transport/rpc/tls.go
+++ b/transport/rpc/tls.go
@@ -37,11 +37,14 @@
 	Key         string `yaml:"key"`
 	// Insecure turns TLS off. It is accepted with loopback addresses only.
 	Insecure bool `yaml:"insecure"`
+	// TrustedNetwork turns TLS off on any address: the network itself must keep
+	// others out.
+	TrustedNetwork bool `yaml:"trusted-network"`
 }
 
 // Validate implements settings.Section.
 func (s *TLSSettings) Validate() []catkinrail.FieldError {
-	if s.Insecure {
+	if s.Insecure || s.TrustedNetwork {
 		return nil
 	}
 	var errs []catkinrail.FieldError
@@ -78,10 +81,18 @@
 		return nil, nil
 	}
 	c := &Credentials{settings: s}
+	if s.TrustedNetwork {
+		return c, nil
+	}
 	_, _, err := c.load()
 	return c, err
 }
 
+// plain reports whether connections go without TLS.
+func (c *Credentials) plain() bool {
+	return c == nil || c.settings.TrustedNetwork
+}
+
 // load returns the current certificates. If changed files can't be read, the
 // earlier ones stay in use.
 func (c *Credentials) load() (*tls.Certificate, *x509.CertPool, error) {
