control: let a joining instance answer the leader; reload at SIGHUP

SIGHUP ended control (exit 129). Ruled out: disk and elections (the two left voters agreed within 15 ms). Change: Join replies with the members; both daemons watch the settings file.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -49,6 +50,8 @@
 	identity  *journal.Identity
 	dir       *disk.Dir
 	clock     *clock.System
+	// peers are the present seeds, which may change with the settings.
+	peers atomic.Pointer[[]string]
 }
 
 // self says how others reach this instance.
@@ -56,8 +59,20 @@
 	return quorum.Peer{Name: d.cfg.Name, Addr: d.cfg.Address, Zone: string(d.cfg.Zone), Public: d.cfg.Public}
 }
 
+// seeds returns the addresses through which other instances can be found.
+func (d *daemon) seeds() []string {
+	return *d.peers.Load()
+}
+
+// setSeeds replaces them.
+func (d *daemon) setSeeds(cfg *Settings) {
+	list := cfg.peerAddrs()
+	d.peers.Store(&list)
+}
+
 func (d *daemon) run(ctx context.Context, g *errgroup.Group) error {
 	d.clock = clock.New()
+	d.setSeeds(d.cfg)
 	var err error
 	if d.creds, err = rpc.NewCredentials(d.cfg.TLS); err != nil {
 		return err
@@ -167,7 +182,7 @@
 		return err
 	}
 	dir := gossip.New(gossip.Config{
-		Self: d.self(), Clock: clk, Log: d.log, Creds: d.creds, Group: g, Seeds: d.cfg.peerAddrs(),
+		Self: d.self(), Clock: clk, Log: d.log, Creds: d.creds, Group: g, Seeds: d.seeds,
 		Silent: d.cfg.SilentAfter, Members: func() *quorum.Members { return c.Snapshot().Members }, Dir: d.dir,
 	})
 	mux := drpcmux.New()
@@ -180,7 +195,7 @@
 	}
 	c.Start(ctx, g)
 	g.Go(func() error { return rpc.Serve(ctx, l, mux) })
-	g.Go(func() error { return d.join(ctx, c) })
+	g.Go(func() error { return d.join(ctx, c, voters) })
 	if d.cfg.Metrics != "" {
 		g.Go(func() error { return d.serveMetrics(ctx, c) })
 	}
@@ -196,13 +211,13 @@
 
 // join asks for a vote whenever this instance has none, and when it hears of no
 // leader: it may have been removed while it was away.
-func (d *daemon) join(ctx context.Context, c *core.Core) error {
+func (d *daemon) join(ctx context.Context, c *core.Core, v *voter.Voters) error {
 	req := &control.JoinRequest{Node: d.identity.Node, Peer: d.self()}
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
 		if !c.Joined(req.Peer) {
-			d.askToJoin(ctx, c, req, i)
+			d.askToJoin(ctx, c, v, req, i)
 		}
 		select {
 		case <-ctx.Done():
@@ -214,9 +229,9 @@
 
 // askToJoin asks the leader, if one is known, or else one instance after the
 // other.
-func (d *daemon) askToJoin(ctx context.Context, c *core.Core, req *control.JoinRequest, attempt int) {
+func (d *daemon) askToJoin(ctx context.Context, c *core.Core, v *voter.Voters, req *control.JoinRequest, attempt int) {
 	snap := c.Snapshot()
-	known := d.cfg.peerAddrs()
+	known := slices.Clone(d.seeds())
 	for _, id := range cluster.SortedKeys(snap.Members.Nodes) {
 		if addr := snap.Members.Nodes[id].Addr; !slices.Contains(known, addr) {
 			known = append(known, addr)
@@ -229,7 +244,7 @@
 	if addr == d.cfg.Address {
 		return
 	}
-	if err := voter.Join(ctx, addr, d.creds, req); err != nil {
+	if _, err := v.Join(ctx, addr, req); err != nil {
 		d.log.Debug().Err(err).Str("peer", addr).Msg("not joined yet")
 	}
 }
--- a/control/cmd/catkinrail-control/main.go
+++ b/control/cmd/catkinrail-control/main.go
@@ -23,10 +23,11 @@
 	app := kingpin.New("catkinrail-control", "Runs a control instance.\n\nExit codes: 0 after a shutdown, 1 if it failed, 2 if the settings are wrong.")
 	bootstrap := app.Flag("bootstrap", "Begin a new cluster. All peers must be started with it, on empty data folders.").Bool()
 	var cfg Settings
+	var file *platformFile
 	source := settings.Source{Platform: func() error {
-		given, err := platformSettings()
+		f, given, err := readPlatform()
 		if err == nil {
-			cfg = *given
+			file, cfg = f, *given
 		}
 		return err
 	}}
@@ -39,7 +40,21 @@
 	defer stop()
 	g, ctx := errgroup.WithContext(ctx)
 	d := &daemon{cfg: &cfg, log: log, bootstrap: *bootstrap || cfg.firstStart}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	g.Go(func() error { return d.run(ctx, g) })
+	if file != nil {
+		g.Go(func() error {
+			settings.Watch(ctx, file.name, file.content, hup, log, func(b []byte) error {
+				given, err := platformSettings(file.name, b)
+				if err == nil {
+					d.setSeeds(given)
+				}
+				return err
+			})
+			return nil
+		})
+	}
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		log.Error(err).Msg("control instance failed")
 		return settings.ExitFailed
--- a/control/cmd/catkinrail-control/platform.go
+++ b/control/cmd/catkinrail-control/platform.go
@@ -24,16 +24,28 @@
 	reportTimeout = time.Second
 )
 
-// platformSettings reads the settings that the platform gives.
-func platformSettings() (*Settings, error) {
-	file, err := platform.SettingsFile()
+// platformFile is the platform's settings file with its contents.
+type platformFile struct {
+	name    string
+	content []byte
+}
+
+// readPlatform reads the settings that the platform gives.
+func readPlatform() (*platformFile, *Settings, error) {
+	name, err := platform.SettingsFile()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	b, err := os.ReadFile(file)
+	b, err := os.ReadFile(name)
 	if err != nil {
-		return nil, catkinrail.At(err, "read settings", file)
+		return nil, nil, catkinrail.At(err, "read settings", name)
 	}
+	cfg, err := platformSettings(name, b)
+	return &platformFile{name: name, content: b}, cfg, err
+}
+
+// platformSettings translates the contents of the platform's settings file.
+func platformSettings(file string, b []byte) (*Settings, error) {
 	n, err := platform.ParseNode(file, b)
 	if err != nil {
 		return nil, err
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -156,6 +156,7 @@
 		if id == c.node.ID() || c.node.Unheard(id) < int64(c.cfg.EvictAfter) {
 			continue
 		}
+		silent := c.node.Unheard(id)
 		next := m.Clone()
 		delete(next.Nodes, id)
 		delete(next.Learners, id)
@@ -164,7 +165,7 @@
 			return
 		}
 		c.cfg.Log.Info().Str("member", m.Nodes[id].Name).Uint64("node", uint64(id)).
-			Int64("silent-ms", c.node.Unheard(id)/1e6).Err(err).Msg("silent member removed")
+			Int64("silent-ms", silent/1e6).Err(err).Msg("silent member removed")
 		return
 	}
 }
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -38,18 +38,23 @@
 }
 
 // Join takes one step towards a vote for an instance with a new disk: it becomes
-// a learner, an earlier member of its name is removed, and once it has caught up
-// it gets its vote. ErrWait asks for the next step.
-func (c *Core) Join(ctx context.Context, req *control.JoinRequest) error {
+// a learner, an earlier member of its name or address is removed, and once it
+// has caught up it gets its vote. The reply names the members, which the
+// instance needs to answer them.
+func (c *Core) Join(ctx context.Context, req *control.JoinRequest) (*control.JoinReply, error) {
+	reply := &control.JoinReply{}
 	var result error
 	err := c.do(ctx, func() {
 		if !c.leader.active {
 			result = c.leaderError()
 			return
 		}
-		result = c.joinStep(req)
+		if result = c.joinStep(req); errors.Is(result, ErrWait) {
+			reply.Wait, result = true, nil
+		}
+		reply.Members = *c.node.Members()
 	})
-	return errors.Join(err, result)
+	return reply, errors.Join(err, result)
 }
 
 func (c *Core) joinStep(req *control.JoinRequest) error {
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -63,7 +63,8 @@
 	if err := open(ctx, f, &req, rpc.RoleControl); err != nil {
 		return nil, err
 	}
-	return &control.Frame{}, s.core.Join(ctx, &req)
+	r, err := s.core.Join(ctx, &req)
+	return reply(r, coded(err))
 }
 
 // Register implements control.DRPCControlServer.
--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -43,12 +43,13 @@
 
 // Config is what a Directory is made of.
 type Config struct {
-	Self   quorum.Peer
-	Clock  catkinrail.Clock
-	Log    *logs.Logger
-	Creds  *rpc.Credentials
-	Group  *errgroup.Group
-	Seeds  []string
+	Self  quorum.Peer
+	Clock catkinrail.Clock
+	Log   *logs.Logger
+	Creds *rpc.Credentials
+	Group *errgroup.Group
+	// Seeds returns addresses of control instances that may not be members yet.
+	Seeds  func() []string
 	Silent time.Duration
 	// Members returns the members that this instance knows; it must not wait.
 	Members func() *quorum.Members
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -54,7 +54,7 @@
 func (d *Directory) refreshPeers(ctx context.Context) {
 	want := map[string]quorum.Peer{}
 	members := map[string]bool{}
-	for _, addr := range d.cfg.Seeds {
+	for _, addr := range d.cfg.Seeds() {
 		want[addr] = quorum.Peer{Addr: addr}
 	}
 	for _, p := range d.cfg.Members().Nodes {
--- a/control/voter/voter.go
+++ b/control/voter/voter.go
@@ -36,6 +36,8 @@
 
 	mu      sync.Mutex
 	senders map[quorum.NodeID]*sender
+	// contacts are the members that a leader has named.
+	contacts *quorum.Members
 }
 
 type sender struct {
@@ -71,6 +73,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	peer, ok := members.Nodes[id]
+	if !ok && v.contacts != nil {
+		peer, ok = v.contacts.Nodes[id]
+	}
 	s := v.senders[id]
 	if s != nil && (!ok || s.addr == peer.Addr) {
 		return s
@@ -151,16 +156,34 @@
 	return g, err
 }
 
-// Join asks the control instance at addr to take in a new member.
-func Join(ctx context.Context, addr string, creds *rpc.Credentials, req *control.JoinRequest) error {
+// Join asks the control instance at addr to take in a new member, and learns how
+// to reach the others. It reports whether there is nothing left to ask for.
+func (v *Voters) Join(ctx context.Context, addr string, req *control.JoinRequest) (done bool, err error) {
 	body, err := cluster.Encode(req)
 	if err != nil {
-		return err
+		return false, err
 	}
-	c := rpc.NewClient(addr, creds)
+	var reply control.JoinReply
+	c := rpc.NewClient(addr, v.creds)
 	defer c.Close()
-	return c.Call(ctx, "join", stepTimeout, func(ctx context.Context, conn drpc.Conn) error {
-		_, err := control.NewDRPCControlClient(conn).Join(ctx, &control.Frame{Body: body})
-		return err
+	err = c.Call(ctx, "join", stepTimeout, func(ctx context.Context, conn drpc.Conn) error {
+		f, err := control.NewDRPCControlClient(conn).Join(ctx, &control.Frame{Body: body})
+		if err != nil {
+			return err
+		}
+		return cluster.Decode(f.GetBody(), &reply)
 	})
+	if err != nil {
+		return false, err
+	}
+	v.learn(&reply.Members)
+	return !reply.Wait, nil
+}
+
+// learn notes how to reach members that this instance's own log doesn't name
+// yet.
+func (v *Voters) learn(m *quorum.Members) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.contacts = m.Clone()
 }
--- a/entry/cmd/catkinrail-entry/daemon.go
+++ b/entry/cmd/catkinrail-entry/daemon.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -168,18 +167,13 @@
 	}
 }
 
-// awaitEnd waits for a signal to end. Others are passed over. It returns false
-// if ctx ends first.
+// awaitEnd waits for a signal to end. It returns false if ctx ends first.
 func awaitEnd(ctx context.Context, signals <-chan os.Signal) bool {
-	for {
-		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				return true
-			}
-		case <-ctx.Done():
-			return false
-		}
+	select {
+	case sig := <-signals:
+		return sig != nil
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/entry/cmd/catkinrail-entry/main.go
+++ b/entry/cmd/catkinrail-entry/main.go
@@ -26,7 +26,9 @@
 		return code
 	}
 	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d.hup = make(chan os.Signal, 1)
+	signal.Notify(d.hup, syscall.SIGHUP)
 	if d.node != nil {
 		d.log = logs.NewRing(os.Stdout, logs.Settings{Level: "info"}, "catkinrail-entry", d.node.Name)
 		defer d.log.Close()
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,6 +16,7 @@
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/platform"
 	"catkinrail.example/catkinrail/protocol/metricspage"
+	"catkinrail.example/catkinrail/settings"
 	"catkinrail.example/catkinrail/transport/clock"
 	"catkinrail.example/catkinrail/transport/rpc"
 	"catkinrail.example/catkinrail/transport/udp"
@@ -27,8 +26,6 @@
 const (
 	// forgetInterval is the time between two looks for flows that are over.
 	forgetInterval = time.Second
-	// reloadInterval is the time between two looks at the settings file.
-	reloadInterval = time.Second
 	// rotationTime is the least time after readiness ends for which packets still
 	// come: two checks, half a second apart, must have missed.
 	rotationTime = 1500 * time.Millisecond
@@ -49,6 +46,8 @@
 	client  *follow.Client
 	worker  *packet.Worker
 	leaving chan struct{}
+	// hup brings the signals that the settings have changed.
+	hup chan os.Signal
 }
 
 // loadPlatform reads the settings that the platform gives.
@@ -104,6 +103,10 @@
 		return metricspage.Serve(ctx, d.node.Metrics.String(), "catkinrail_entry", reg, d.ready)
 	})
 	g.Go(func() error { return d.forget(ctx) })
+	g.Go(func() error {
+		settings.Watch(ctx, d.file, d.content, d.hup, d.log, d.reload)
+		return nil
+	})
 	g.Go(func() error {
 		defer cancel()
 		d.awaitSignals(ctx, signals)
@@ -147,49 +150,24 @@
 	}
 }
 
-// awaitSignals follows changes of the settings and returns once the instance may
-// end.
+// awaitSignals returns once a signal has ended the instance and it may go.
 func (d *tokenDaemon) awaitSignals(ctx context.Context, signals <-chan os.Signal) {
-	t := time.NewTicker(reloadInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			d.reload()
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				d.reload()
-				continue
-			}
-			d.log.Info().Stringer("signal", sig).Msg("leaving")
-			close(d.leaving)
-			d.drain(ctx)
-			return
-		}
+	if !awaitEnd(ctx, signals) {
+		return
 	}
+	d.log.Info().Msg("leaving")
+	close(d.leaving)
+	d.drain(ctx)
 }
 
-// reload takes the settings that may change while the instance runs. If the file
-// is wrong, what was in force stays.
-func (d *tokenDaemon) reload() {
-	b, err := os.ReadFile(d.file)
-	if err != nil {
-		d.log.Warn(catkinrail.At(err, "read settings", d.file)).Msg("settings not reloaded")
-		return
-	}
-	if bytes.Equal(b, d.content) {
-		return
-	}
-	d.content = b
+// reload takes the settings that may change while the instance runs.
+func (d *tokenDaemon) reload(b []byte) error {
 	n, err := platform.ParseNode(d.file, b)
 	if err != nil {
-		d.log.Warn(catkinrail.At(err, "read settings", d.file)).Msg("settings not reloaded")
-		return
+		return err
 	}
 	d.client.SetSeeds(seedsOf(n))
-	d.log.Info().Strs("seeds", seedsOf(n)).Msg("settings reloaded")
+	return nil
 }
 
 // drain goes on forwarding what still comes until nothing does, or until the
--- a/protocol/control/messages.go
+++ b/protocol/control/messages.go
@@ -26,6 +26,13 @@
 	Peer quorum.Peer   `cbor:"2,keyasint"`
 }
 
+// JoinReply answers a JoinRequest.
+type JoinReply struct {
+	// Wait asks for the request to be sent again later.
+	Wait    bool           `cbor:"1,keyasint,omitempty"`
+	Members quorum.Members `cbor:"2,keyasint"`
+}
+
 // Registered answers a registration.
 type Registered struct {
 	ID catkinrail.InstanceID `cbor:"1,keyasint"`
