rpc: give up dialling after 250 ms

Cause: after a loss of all power, entry instances dialled machines that were still dark and waited a second for the kernel's next opening packet.

--- a/transport/rpc/rpc.go
+++ b/transport/rpc/rpc.go
@@ -22,7 +22,10 @@
 
 // Limits of connections.
 const (
-	dialTimeout = 2 * time.Second
+	// dialTimeout exceeds the latency between regions many times, and is below the
+	// second after which the kernel repeats an opening packet that a machine
+	// without power didn't answer.
+	dialTimeout = 250 * time.Millisecond
 	// idleTimeout ends a connection on which no call has come for that long.
 	idleTimeout = 2 * time.Minute
 	// maxMessage bounds a message in bytes, above a snapshot at the planned size.
