--- a/coordination/quorum/election.go
+++ b/coordination/quorum/election.go
@@ -56,7 +56,7 @@
 func (n *Node) campaign(role Role) {
 	n.role = role
 	n.leader = 0
-	n.resetDeadline()
+	n.resetCampaign()
 	n.votes = map[NodeID]bool{n.id: true}
 	kind, term := PreVote, n.hard.Term+1
 	if role == Candidate {
--- a/coordination/quorum/node.go
+++ b/coordination/quorum/node.go
@@ -50,6 +50,8 @@
 	// leases stands for election to a part of the usual one: nodes that start
 	// together must find each other first.
 	startDivisor = 8
+	// campaignDivisor sets the least time between two campaigns of a candidate.
+	campaignDivisor = 4
 )
 
 // Errors of Propose and ChangeMembers. The entry is not in the log.
@@ -181,6 +183,14 @@
 	n.deadline = n.now + span + n.rng.Int64N(span)
 }
 
+// resetCampaign sets when a candidate asks again. Answers come within
+// milliseconds, so that it need not wait as long as for a leader; chance keeps
+// candidates that split the votes apart.
+func (n *Node) resetCampaign() {
+	span := int64(n.timing.Election) / campaignDivisor
+	n.deadline = n.now + span + n.rng.Int64N(2*span)
+}
+
 // Leading reports whether the node is the leader, has committed an entry of its
 // term and holds a lease: no other node can be leader at this time.
 func (n *Node) Leading(now int64) bool {
