place: keep new flows in their zone unless it has three times the load

Cause: flows placed in another zone for a slightly lower load were lost when that zone was cut off, and their bytes cross zones.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -44,7 +44,7 @@
 	// remotePenaltyPercent is the load, in percent of a request in each slot, by
 	// which a server in another zone must be better than a local one: crossing
 	// zones costs two ways of latency and the bytes.
-	remotePenaltyPercent = 100
+	remotePenaltyPercent = 300
 )
 
 // missHold is how long a server that left an opening packet unanswered is passed
