--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -114,7 +114,7 @@
 		return nil, drpcerr.WithCode(err, uint64(api.Code_FORBIDDEN))
 	}
 	var change cluster.Change
-	if err := cluster.DecodeChange(f.GetBody(), &change); err != nil {
+	if err := cluster.DecodePacked(f.GetBody(), &change); err != nil {
 		return nil, drpcerr.WithCode(err, uint64(api.Code_INVALID))
 	}
 	if len(change.Events) != 1 || change.Events[0].DocumentPut == nil {
@@ -141,7 +141,11 @@
 	if err := open(ctx, f, &g, rpc.RoleControl); err != nil {
 		return nil, err
 	}
-	return reply(s.dir.Gossip(&g), nil)
+	body, err := cluster.EncodePacked(s.dir.Gossip(&g))
+	if err != nil {
+		return nil, err
+	}
+	return &control.Frame{Body: body}, nil
 }
 
 // Follow implements control.DRPCControlServer.
@@ -151,7 +155,7 @@
 		return err
 	}
 	return s.follow.Serve(stream.Context(), &req, func(u *control.FollowUpdate) error {
-		body, err := cluster.Encode(u)
+		body, err := cluster.EncodePacked(u)
 		if err != nil {
 			return err
 		}
@@ -164,7 +168,7 @@
 	if err := rpc.RequireRole(ctx, roles...); err != nil {
 		return drpcerr.WithCode(err, uint64(api.Code_FORBIDDEN))
 	}
-	if err := cluster.Decode(f.GetBody(), v); err != nil {
+	if err := cluster.DecodePacked(f.GetBody(), v); err != nil {
 		return drpcerr.WithCode(err, uint64(api.Code_INVALID))
 	}
 	return nil
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -110,7 +110,7 @@
 	snap := c.Snapshot()
 	u.Current = synced > 0 && now-synced < int64(currentSpan)
 	if v := version(snap); v > pos.document && u.Current {
-		u.Document, pos.document = snap.Document, v
+		u.Document, pos.document = bare(snap.Document), v
 	}
 	if snap.Members != pos.members {
 		pos.members = snap.Members
@@ -126,3 +126,10 @@
 	u.Synced = true
 	return u, changed
 }
+
+// bare returns the document without its source, which only operators read.
+func bare(d *catkinrail.Document) *catkinrail.Document {
+	c := *d
+	c.Source = nil
+	return &c
+}
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -148,7 +148,7 @@
 }
 
 func (d *Directory) call(ctx context.Context, client *rpc.Client, p *peer, g *control.Gossip) error {
-	body, err := cluster.Encode(g)
+	body, err := cluster.EncodePacked(g)
 	if err != nil {
 		return catkinrail.At(err, "gossip", p.addr)
 	}
@@ -158,7 +158,7 @@
 		if err != nil {
 			return err
 		}
-		return cluster.Decode(f.GetBody(), &reply)
+		return cluster.DecodePacked(f.GetBody(), &reply)
 	})
 	if err != nil {
 		return err
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -206,7 +206,7 @@
 // open decides about an opening packet.
 func (e *Engine) open(p *catkinrail.TokenPacket, now int64) Verdict {
 	if f := e.flows[p.Flow]; f != nil && f.seq == p.Seq && !f.backend.Gone {
-		return e.again(p, f, now)
+		return e.again(f, now)
 	}
 	listen := netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)
 	r := e.routes[listen]
@@ -229,7 +229,7 @@
 }
 
 // again decides about a copy of an opening packet.
-func (e *Engine) again(p *catkinrail.TokenPacket, f *flow, now int64) Verdict {
+func (e *Engine) again(f *flow, now int64) Verdict {
 	f.seen = now
 	if f.open || now-f.opened < int64(copyGap) {
 		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend}
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -201,7 +201,7 @@
 			}
 			silent.Reset(silentAfter)
 			var u control.FollowUpdate
-			if err := cluster.Decode(f.GetBody(), &u); err != nil {
+			if err := cluster.DecodePacked(f.GetBody(), &u); err != nil {
 				return err
 			}
 			s.take(&u)
--- a/state/cluster/codec.go
+++ b/state/cluster/codec.go
@@ -73,19 +73,19 @@
 	return c, nil
 }
 
-// Packing of large changes, which repeat themselves much.
+// Packing of large documents, which repeat themselves much.
 const (
-	// packedMark begins a packed change; no CBOR map begins with it.
+	// packedMark begins a packed document; no CBOR map begins with it.
 	packedMark = 0x00
-	// packFrom is the size in bytes from which a change is packed.
+	// packFrom is the size in bytes from which a document is packed.
 	packFrom = 512
-	// maxUnpacked bounds a change in bytes once unpacked.
+	// maxUnpacked bounds a document in bytes once unpacked.
 	maxUnpacked = 64 << 20
 )
 
-// EncodeChange returns the encoding of a change for the log.
-func EncodeChange(c *Change) ([]byte, error) {
-	b, err := Encode(c)
+// EncodePacked returns the encoding of v, compressed if it is large.
+func EncodePacked(v any) ([]byte, error) {
+	b, err := Encode(v)
 	if err != nil || len(b) < packFrom {
 		return b, err
 	}
@@ -93,25 +93,25 @@
 	out.WriteByte(packedMark)
 	w, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
-		return nil, fmt.Errorf("pack change: %w", err)
+		return nil, fmt.Errorf("pack %T: %w", v, err)
 	}
 	if _, err := w.Write(b); err != nil {
-		return nil, fmt.Errorf("pack change: %w", err)
+		return nil, fmt.Errorf("pack %T: %w", v, err)
 	}
 	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("pack change: %w", err)
+		return nil, fmt.Errorf("pack %T: %w", v, err)
 	}
 	return out.Bytes(), nil
 }
 
-// DecodeChange reads what EncodeChange has written.
-func DecodeChange(b []byte, c *Change) error {
+// DecodePacked reads what EncodePacked has written.
+func DecodePacked(b []byte, v any) error {
 	if len(b) == 0 || b[0] != packedMark {
-		return Decode(b, c)
+		return Decode(b, v)
 	}
 	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b[1:])), maxUnpacked))
 	if err != nil {
-		return fmt.Errorf("unpack change: %w", err)
+		return fmt.Errorf("unpack %T: %w", v, err)
 	}
-	return Decode(plain, c)
+	return Decode(plain, v)
 }
--- /dev/null
+++ b/state/directory/directory_test.go
@@ -0,0 +1,181 @@
+package directory_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/state/directory"
+)
+
+const (
+	silentAfter = 3 * time.Second
+	second      = int64(time.Second)
+)
+
+// change is a report, or the end of an incarnation.
+type change struct {
+	inc   catkinrail.Incarnation
+	leave bool
+}
+
+func report(name string, born int64, sequence uint64, addr int) catkinrail.Incarnation {
+	return catkinrail.Incarnation{
+		Name: name, Identity: 1, Born: born, Sequence: sequence, Service: "logbook", Slots: 2, Zone: "a",
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(addr)}), 80),
+	}
+}
+
+func draining(inc catkinrail.Incarnation) catkinrail.Incarnation {
+	inc.Draining = true
+	return inc
+}
+
+func apply(d *directory.Directory, list []change, now int64) {
+	for i := range list {
+		if list[i].leave {
+			d.Leave(list[i].inc.Name, list[i].inc.Born, now)
+			continue
+		}
+		d.Report(&list[i].inc, now, true)
+	}
+}
+
+func TestLastWriterWins(t *testing.T) {
+	old := report("a", 100, 9, 1)
+	tests := []struct {
+		name string
+		list []change
+		// want gives the incarnations that live, by name, with their birth.
+		want map[string]int64
+		// draining names those that drain.
+		draining []string
+	}{
+		{"a report", []change{{inc: old}}, map[string]int64{"a": 100}, nil},
+		{"a late report does not undo draining", []change{{inc: draining(report("a", 100, 5, 1))}, {inc: report("a", 100, 4, 1)}}, map[string]int64{"a": 100}, []string{"a"}},
+		{"a leave ends a life", []change{{inc: old}, {inc: old, leave: true}}, map[string]int64{}, nil},
+		{"a late report does not bring a life back", []change{{inc: old}, {inc: old, leave: true}, {inc: report("a", 100, 8, 1)}, {inc: report("a", 100, 10, 1)}}, map[string]int64{}, nil},
+		{"a new life under the same name", []change{{inc: old}, {inc: old, leave: true}, {inc: report("a", 200, 1, 1)}}, map[string]int64{"a": 200}, nil},
+		{"a new life without a leave", []change{{inc: old}, {inc: report("a", 200, 1, 1)}}, map[string]int64{"a": 200}, nil},
+		{"a late report of the earlier life", []change{{inc: report("a", 200, 1, 1)}, {inc: old}}, map[string]int64{"a": 200}, nil},
+		{"a late leave of the earlier life", []change{{inc: report("a", 200, 1, 1)}, {inc: old, leave: true}}, map[string]int64{"a": 200}, nil},
+		{"an address taken over", []change{{inc: old}, {inc: report("b", 200, 1, 1)}}, map[string]int64{"b": 200}, nil},
+		{"a late report of the address's earlier holder", []change{{inc: report("b", 200, 1, 1)}, {inc: old}}, map[string]int64{"b": 200}, nil},
+		{"another address", []change{{inc: old}, {inc: report("b", 200, 1, 2)}}, map[string]int64{"a": 100, "b": 200}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := directory.New(silentAfter)
+			apply(d, tt.list, second)
+			live := map[string]int64{}
+			var drains []string
+			for _, inc := range d.All(second) {
+				if inc.Gone {
+					continue
+				}
+				live[inc.Name] = inc.Born
+				if inc.Draining {
+					drains = append(drains, inc.Name)
+				}
+			}
+			require.Equal(t, tt.want, live)
+			require.Equal(t, tt.draining, drains)
+		})
+	}
+}
+
+func TestSilence(t *testing.T) {
+	d := directory.New(silentAfter)
+	inc := report("a", 100, 1, 1)
+	d.Report(&inc, second, true)
+	require.Empty(t, d.Tick(second+int64(silentAfter)))
+	require.Equal(t, []string{"a"}, d.Tick(second+int64(silentAfter)+1))
+	require.True(t, d.Since(0, 0)[0].Silent)
+	require.Empty(t, d.Tick(second+int64(silentAfter)+2))
+
+	require.True(t, d.Pulse("a", 100, 2, 10*second))
+	require.False(t, d.Since(0, 0)[0].Silent)
+	require.False(t, d.Pulse("b", 100, 2, 10*second))
+	require.False(t, d.Pulse("a", 200, 1, 10*second), "a later life must be fetched")
+
+	// A process that was held up for a minute heard nobody meanwhile.
+	d.Shift(60 * second)
+	require.Empty(t, d.Tick(70*second))
+
+	// What is long over is forgotten.
+	d.Tick(100 * second)
+	d.Tick(100*second + int64(time.Hour))
+	require.Empty(t, d.All(0))
+}
+
+func TestHeardTellsOwnNewsOnly(t *testing.T) {
+	d := directory.New(silentAfter)
+	a, b := report("a", 100, 1, 1), report("b", 100, 1, 2)
+	d.Report(&a, second, true)
+	d.Report(&b, second, false)
+	changed, renewed := d.Heard(0, second)
+	require.Len(t, changed, 1)
+	require.Empty(t, renewed)
+	at := d.Revision()
+	a.Sequence++
+	require.Equal(t, directory.Renewed, d.Report(&a, 2*second, true))
+	changed, renewed = d.Heard(at, second)
+	require.Empty(t, changed)
+	require.Len(t, renewed, 1)
+	require.Empty(t, d.Since(at, second), "a renewal is no news to entry instances")
+}
+
+// TestOrderDoesNotMatter shows that directories that took the same reports in
+// any order, some of them twice, agree on who lives.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []change
+		n := rapid.IntRange(1, 12).Draw(t, "changes")
+		leaving := map[string]bool{}
+		for range n {
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			born := rapid.Int64Range(1, 3).Draw(t, "born")
+			// A backend server keeps its address for a life, and has started to
+			// drain at some report.
+			addr := int(born)%2 + len(name)
+			sequence := rapid.Uint64Range(1, 4).Draw(t, "sequence")
+			inc := report(name, born*10+int64(name[0]-'a'), sequence, addr)
+			inc.Draining = sequence >= 3
+			leave := rapid.Bool().Draw(t, "leave") && sequence == 4
+			leaving[fmt.Sprint(name, born)] = leave
+			if leave {
+				inc.Gone = true
+			}
+			list = append(list, change{inc: inc})
+		}
+		first, second := directory.New(silentAfter), directory.New(silentAfter)
+		apply(first, list, 1)
+		other := rapid.Permutation(append(list, list...)).Draw(t, "order")
+		apply(second, other, 1)
+		// Anti-entropy passes everything on until nothing changes.
+		for range 3 {
+			for _, inc := range first.All(1) {
+				second.Report(&inc, 1, false)
+			}
+			for _, inc := range second.All(1) {
+				first.Report(&inc, 1, false)
+			}
+		}
+		require.Equal(t, alive(first), alive(second))
+	})
+}
+
+func alive(d *directory.Directory) map[string]int64 {
+	live := map[string]int64{}
+	for _, inc := range d.All(1) {
+		if !inc.Gone {
+			live[inc.Name] = inc.Born
+		}
+	}
+	return live
+}
