token, place, directory, platform: test decisions and decoders

Tables, rapid properties and fuzz targets: order of reports, copies of opening packets at one or two instances, tokens that two backend servers share, documents and reports that are wrong in one field. Found by a test: a late answer of a backend server that was passed over did not count.

--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -327,6 +327,10 @@
 // on another backend server than assumed.
 func (e *Engine) adopt(p *catkinrail.TokenPacket, b *Backend, old *flow, now int64) *flow {
 	if old != nil {
+		if old.first == b {
+			// Its answer came after all, later than the caller's copy.
+			b.misses = 0
+		}
 		e.forget(p.Flow, old)
 	}
 	if len(e.flows) >= maxFlows || p.Closing || p.Reset {
--- /dev/null
+++ b/coordination/token/engine_test.go
@@ -0,0 +1,304 @@
+package token_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/token"
+)
+
+const ms = int64(time.Millisecond)
+
+var listen = netip.MustParseAddrPort("198.18.0.1:443")
+
+func document(version uint64, targets ...catkinrail.Target) *catkinrail.Document {
+	if len(targets) == 0 {
+		targets = []catkinrail.Target{{Service: "logbook", Weight: 1}}
+	}
+	return &catkinrail.Document{
+		Version: version, Services: []string{"logbook", "drawvault"},
+		Routes: []catkinrail.Route{{Name: "r", Listen: listen, Kind: catkinrail.KindSafe, Timeout: time.Second, Targets: targets}},
+	}
+}
+
+func backend(name string, identity uint64) token.Followed {
+	return token.Followed{Incarnation: catkinrail.Incarnation{
+		Name: name, Identity: identity, Born: 100, Sequence: 1, Service: "logbook", Zone: "a", Slots: 2,
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(identity)}), 80),
+	}}
+}
+
+// newEngine returns an engine with a document and the named backend servers.
+func newEngine(list ...token.Followed) *token.Engine {
+	e := token.New("a", 1)
+	e.SetDocument(document(1))
+	e.Update(list, 0)
+	e.Heard(0)
+	return e
+}
+
+func opening(port uint16, n uint32) *catkinrail.TokenPacket {
+	return &catkinrail.TokenPacket{Flow: flow(port), Opening: true, Copy: n, Seq: uint32(port)}
+}
+
+func flow(port uint16) catkinrail.FlowKey {
+	return catkinrail.FlowKey{
+		Src: netip.MustParseAddr("100.64.0.7").As16(), SrcPort: port,
+		Dst: listen.Addr().As16(), DstPort: listen.Port(), Proto: catkinrail.ProtoTCP,
+	}
+}
+
+func data(port uint16, t catkinrail.Token, seq, ack uint32, n int) *catkinrail.TokenPacket {
+	return &catkinrail.TokenPacket{Flow: flow(port), Token: t, Seq: seq, Ack: ack, Payload: n}
+}
+
+func TestOpeningPackets(t *testing.T) {
+	gone := backend("b", 2)
+	gone.Gone = true
+	leaving := backend("c", 3)
+	leaving.Draining = true
+	tests := []struct {
+		name   string
+		engine func() *token.Engine
+		p      *catkinrail.TokenPacket
+		at     int64
+		action token.Action
+		reason token.Reason
+	}{
+		{
+			"before the first document", func() *token.Engine { return token.New("a", 1) }, opening(1, 0), 0,
+			token.Drop, token.ReasonNoDocument,
+		},
+		{"a route", func() *token.Engine { return newEngine(backend("a", 1)) }, opening(1, 0), 0, token.Forward, token.ReasonPlaced},
+		{
+			"no route is refused at once", func() *token.Engine { return newEngine(backend("a", 1)) },
+			&catkinrail.TokenPacket{Opening: true}, 0, token.Refuse, token.ReasonNoRoute,
+		},
+		{
+			"no route in a document that may be old", func() *token.Engine { return newEngine(backend("a", 1)) },
+			&catkinrail.TokenPacket{Opening: true}, 2000 * ms, token.Drop, token.ReasonStale,
+		},
+		{"no backend server is refused at once", func() *token.Engine { return newEngine(gone, leaving) }, opening(1, 0), 0, token.Refuse, token.ReasonNoBackend},
+		{
+			"a copy is not refused: the first may have been passed on", func() *token.Engine { return newEngine(leaving) },
+			opening(1, 1), 0, token.Drop, token.ReasonNoBackend,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := tt.engine().Decide(tt.p, tt.at)
+			require.Equal(t, tt.action, v.Action)
+			require.Equal(t, tt.reason, v.Reason)
+		})
+	}
+}
+
+func TestCopiesOfAnOpeningPacket(t *testing.T) {
+	tests := []struct {
+		name string
+		// gap is the time between the first packet and its copy.
+		gap      int64
+		answered bool
+		same     bool
+	}{
+		{"that waited here together go to one backend server", 5 * ms, false, true},
+		{"that the caller sent late go to the next one", 200 * ms, false, false},
+		{"of an open flow stay", 200 * ms, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEngine(backend("a", 1), backend("b", 2))
+			first := e.Decide(opening(1, 0), 0).Backend
+			if tt.answered {
+				e.Decide(data(1, first.Token(), 2, 100, 0), 10*ms)
+			}
+			second := e.Decide(opening(1, 1), tt.gap).Backend
+			require.Equal(t, tt.same, first == second)
+		})
+	}
+}
+
+func TestUnansweredBackendIsPassedOver(t *testing.T) {
+	e := newEngine(backend("a", 1), backend("b", 2))
+	first := e.Decide(opening(1, 0), 0).Backend
+	e.Decide(opening(1, 1), 200*ms)
+	for port := range uint16(20) {
+		require.NotEqual(t, first, e.Decide(opening(100+port, 0), 210*ms).Backend)
+	}
+	// An answer that came late after all shows that it is there.
+	e.Decide(data(1, first.Token(), 2, 100, 0), 220*ms)
+	used := false
+	for port := range uint16(60) {
+		used = used || e.Decide(opening(200+port, 0), 230*ms).Backend == first
+	}
+	require.True(t, used)
+}
+
+func TestTokens(t *testing.T) {
+	e := newEngine(backend("a", 1), backend("b", 2))
+	require.Equal(t, "b", e.Decide(data(9, 2, 1, 1, 10), 0).Backend.Name, "a flow that another instance opened")
+	require.Equal(t, token.ReasonUnknownToken, e.Decide(data(9, 77, 1, 1, 10), 0).Reason)
+
+	// A backend server that drains keeps its flows; one that has ended does not.
+	b := backend("b", 2)
+	b.Sequence, b.Draining = 2, true
+	e.Update([]token.Followed{b}, 0)
+	require.Equal(t, token.Forward, e.Decide(data(9, 2, 1, 1, 10), 0).Action)
+	b.Gone = true
+	e.Update([]token.Followed{b}, 1000*ms)
+	require.Equal(t, token.Forward, e.Decide(data(9, 2, 1, 1, 10), 1500*ms).Action, "it may still send its last packets")
+	require.Equal(t, token.Refuse, e.Decide(data(9, 2, 1, 1, 10), 4000*ms).Action)
+	abort := data(9, 2, 1, 1, 0)
+	abort.Reset = true
+	require.Equal(t, token.Drop, e.Decide(abort, 4000*ms).Action, "an abort is not answered")
+}
+
+func TestOneTokenNamesOneBackend(t *testing.T) {
+	// Identities of more than 32 bits that fold to the same token.
+	older, younger := backend("a", 0x1_0000_0003), backend("b", 0x2_0000_0000)
+	older.Identity, younger.Identity = 0x1_0000_0003, 0x3_0000_0001
+	younger.Born = 200
+	require.Equal(t, older.Token(), younger.Token())
+	e := newEngine(younger, older)
+	for port := range uint16(20) {
+		require.Equal(t, "a", e.Decide(opening(port, 0), 0).Backend.Name)
+	}
+	older.Gone = true
+	e.Update([]token.Followed{older}, 0)
+	require.Equal(t, "b", e.Decide(opening(99, 0), 0).Backend.Name)
+}
+
+func TestOlderNewsChangesNothing(t *testing.T) {
+	e := newEngine(backend("a", 1))
+	require.False(t, e.SetDocument(document(1)))
+	require.True(t, e.SetDocument(document(3)))
+	require.False(t, e.SetDocument(document(2)))
+	require.Equal(t, uint64(3), e.Version())
+
+	draining := backend("a", 1)
+	draining.Sequence, draining.Draining = 5, true
+	require.Len(t, e.Update([]token.Followed{draining}, 0), 1)
+	require.Empty(t, e.Update([]token.Followed{backend("a", 1)}, 0), "a late report")
+	require.Equal(t, token.ReasonNoBackend, e.Decide(opening(1, 0), 0).Reason)
+
+	silent := backend("a", 1)
+	silent.Silent = true
+	require.Len(t, e.Update([]token.Followed{silent}, 0), 1, "what the sender observed counts although its report is old")
+
+	reborn := backend("a", 1)
+	reborn.Born = 200
+	require.Len(t, e.Update([]token.Followed{reborn}, 0), 1)
+	require.Equal(t, token.ReasonPlaced, e.Decide(opening(2, 0), 0).Reason)
+	require.Empty(t, e.Update([]token.Followed{draining}, 0), "the earlier life")
+}
+
+func TestSplitRoutes(t *testing.T) {
+	other := backend("b", 2)
+	other.Service = "drawvault"
+	e := newEngine(backend("a", 1), other)
+	e.SetDocument(document(2, catkinrail.Target{Service: "logbook", Weight: 90}, catkinrail.Target{Service: "drawvault", Weight: 10}))
+	count := map[string]int{}
+	for port := range uint16(1000) {
+		count[e.Decide(opening(port, 0), 0).Backend.Name]++
+	}
+	require.InDelta(t, 100, count["b"], 40)
+}
+
+// TestFlowReachesTheServerItIsOpenAt runs the handshake of a flow with every
+// order in which packets may be lost, delayed or repeated, at one entry instance
+// or two: when the caller has opened a flow, its packets reach the backend
+// server whose answer it has acknowledged.
+func TestFlowReachesTheServerItIsOpenAt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := []*token.Engine{
+			newEngine(backend("a", 1), backend("b", 2), backend("c", 3)),
+			newEngine(backend("a", 1), backend("b", 2), backend("c", 3)),
+		}
+		// Each copy goes through the instance that the fabric has chosen by then.
+		change := rapid.IntRange(0, 3).Draw(t, "rotation changes before copy")
+		at := []int64{0, 200 * ms, 600 * ms}
+		type answer struct {
+			b       *token.Backend
+			arrives int64
+		}
+		var answers []answer
+		for i, sent := range at {
+			if rapid.Bool().Draw(t, "lost on the way in") {
+				continue
+			}
+			e := engines[0]
+			if i >= change {
+				e = engines[1]
+			}
+			v := e.Decide(opening(1, uint32(i)), sent)
+			require.Equal(t, token.Forward, v.Action)
+			if rapid.Bool().Draw(t, "backend server answers") {
+				// An answer that takes longer than the gap between two copies has met
+				// a fault on the way.
+				answers = append(answers, answer{v.Backend, sent + rapid.Int64Range(1, 190).Draw(t, "delay")*ms})
+			}
+		}
+		if len(answers) == 0 {
+			return
+		}
+		first := answers[0]
+		for _, a := range answers {
+			if a.arrives < first.arrives {
+				first = a
+			}
+		}
+		// The caller's acknowledgement carries the token that it has received last
+		// before it sends: that of the first answer.
+		e := engines[rapid.IntRange(0, 1).Draw(t, "instance")]
+		v := e.Decide(data(1, first.b.Token(), 2, 100, 0), first.arrives)
+		require.Equal(t, token.Forward, v.Action)
+		require.Equal(t, first.b.Name, v.Backend.Name)
+		// Whatever else this instance believes, later packets follow the token.
+		v = e.Decide(data(1, first.b.Token(), 2, 100, 900), first.arrives+50*ms)
+		require.Equal(t, first.b.Name, v.Backend.Name)
+	})
+}
+
+// TestLoadIsEven replays requests on many flows: the busiest backend server has
+// hardly more to do than the mean.
+func TestLoadIsEven(t *testing.T) {
+	e := newEngine(backend("a", 1), backend("b", 2), backend("c", 3), backend("d", 4))
+	count := map[string]int{}
+	tokens := map[uint16]catkinrail.Token{}
+	now := int64(0)
+	for port := range uint16(400) {
+		b := e.Decide(opening(port, 0), now).Backend
+		count[b.Name]++
+		tokens[port] = b.Token()
+		e.Decide(data(port, b.Token(), 10, 100, 0), now+ms)
+		e.Decide(data(port, b.Token(), 10, 100, 90), now+ms)
+		if port >= 8 {
+			e.Decide(data(port-8, tokens[port-8], 100, 1100, 0), now+ms)
+		}
+		now += 3 * ms
+	}
+	for _, n := range count {
+		require.InDelta(t, 100, n, 10)
+	}
+}
+
+func TestForget(t *testing.T) {
+	e := newEngine(backend("a", 1))
+	b := e.Decide(opening(1, 0), 0).Backend
+	e.Decide(data(1, b.Token(), 2, 100, 10), ms)
+	require.Equal(t, 1, e.Flows())
+	e.Tick(10_000 * ms)
+	require.Equal(t, 1, e.Flows())
+	e.Tick(30_000 * ms)
+	require.Zero(t, e.Flows())
+	end := data(2, b.Token(), 2, 100, 0)
+	e.Decide(opening(2, 0), 0)
+	end.Closing = true
+	e.Decide(end, ms)
+	require.Zero(t, e.Flows())
+}
