--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 .PHONY: demo
 demo: build ## Run both users' services on loopback, with changes and losses.
 	./scripts/demo.sh
+	./scripts/demo-platform.sh
 
 .PHONY: test
 test: ## Run the tests with the race detector.
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -34,12 +34,20 @@
 	wire  []quorum.Message
 	down  map[quorum.NodeID]bool
 	n     int
+	// timing and evict are those of cores that start from now on.
+	timing quorum.Timing
+	evict  time.Duration
 }
 
 func newEnsemble(t *testing.T, n int) *ensemble {
+	t.Helper()
+	return newEnsembleWith(t, n, quorum.DefaultTiming, 0)
+}
+
+func newEnsembleWith(t *testing.T, n int, timing quorum.Timing, evict time.Duration) *ensemble {
 	t.Helper()
 	e := &ensemble{
-		t: t, clock: &manual{now: time.Unix(1000, 0)}, n: n,
+		t: t, clock: &manual{now: time.Unix(1000, 0)}, n: n, timing: timing, evict: evict,
 		cores: map[quorum.NodeID]*Core{}, disks: map[quorum.NodeID]*fake.Disk{}, down: map[quorum.NodeID]bool{},
 	}
 	members := quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{}}
@@ -63,7 +71,8 @@
 	j, stored, err := journal.Open(e.disks[id])
 	require.NoError(e.t, err)
 	c, err := New(Config{
-		ID: id, Name: fmt.Sprint("control-", id), Timing: quorum.DefaultTiming, Lease: time.Second, Seed: uint64(id),
+		ID: id, Name: fmt.Sprint("control-", id), Timing: e.timing, Lease: time.Second, Seed: uint64(id),
+		EvictAfter: e.evict, Reopen: func() (*journal.Journal, quorum.Stored, error) { return journal.Open(e.disks[id]) },
 		Clock: e.clock, Log: logs.Discard(), Journal: j, Stored: stored,
 		Send: func(list []quorum.Message, _ *quorum.Members) { e.wire = append(e.wire, list...) },
 	})
@@ -103,6 +112,8 @@
 	c := e.cores[id]
 	c.work()
 	require.NoError(e.t, c.handleReady())
+	c.confirmReads()
+	c.publish()
 }
 
 func (e *ensemble) leader() *Core {
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -86,19 +86,25 @@
 // PutDocument proposes a document, on the leader. A document that is not newer
 // than the one in force changes nothing.
 func (c *Core) PutDocument(ctx context.Context, d *catkinrail.Document) error {
-	_, err := c.Submit(ctx, func(s *cluster.State) ([]cluster.Event, *cluster.Answer, error) {
+	_, err := c.Submit(ctx, putDocument(d))
+	return err
+}
+
+// putDocument returns what putting the document changes.
+func putDocument(d *catkinrail.Document) func(*cluster.State) ([]cluster.Event, *cluster.Answer, error) {
+	return func(s *cluster.State) ([]cluster.Event, *cluster.Answer, error) {
 		if s.Document != nil && s.Document.Version >= d.Version {
 			return nil, nil, nil
 		}
 		return []cluster.Event{{DocumentPut: d}}, nil, nil
-	})
-	return err
+	}
 }
 
 // pendingRead is a read that waits for its proof.
 type pendingRead struct {
-	mark, term int64
-	done       chan error
+	mark int64
+	term uint64
+	done chan error
 }
 
 // ReadIndex returns, on the leader, the index that a read must wait for. It
@@ -107,16 +113,7 @@
 func (c *Core) ReadIndex(ctx context.Context) (uint64, error) {
 	done := make(chan error, 1)
 	var index uint64
-	err := c.do(ctx, func() {
-		mark, at, err := c.node.BeginRead(c.now())
-		if err != nil {
-			done <- c.leaderError()
-			return
-		}
-		index = at
-		c.reads = append(c.reads, pendingRead{mark: mark, term: int64(c.node.Term()), done: done})
-	})
-	if err != nil {
+	if err := c.do(ctx, func() { index = c.beginRead(done) }); err != nil {
 		return 0, err
 	}
 	select {
@@ -129,11 +126,22 @@
 	}
 }
 
+// beginRead begins a read and returns the index that it must wait for.
+func (c *Core) beginRead(done chan error) uint64 {
+	mark, index, err := c.node.BeginRead(c.now())
+	if err != nil {
+		done <- c.leaderError()
+		return 0
+	}
+	c.reads = append(c.reads, pendingRead{mark: mark, term: c.node.Term(), done: done})
+	return index
+}
+
 // confirmReads answers the reads whose proof has come.
 func (c *Core) confirmReads() {
 	c.reads = slices.DeleteFunc(c.reads, func(r pendingRead) bool {
 		switch {
-		case c.node.Role() != quorum.Leader || int64(c.node.Term()) != r.term:
+		case c.node.Role() != quorum.Leader || c.node.Term() != r.term:
 			r.done <- c.leaderError()
 		case c.node.ReadConfirmed(r.mark):
 			r.done <- nil
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -45,7 +45,6 @@
 	document uint64
 	revision uint64
 	members  *quorum.Members
-	synced   bool
 }
 
 // Serve sends updates until ctx ends or send fails.
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -163,6 +163,12 @@
 	if err != nil {
 		return err
 	}
+	d.take(p, g, &reply)
+	return nil
+}
+
+// take learns from the answer to a message.
+func (d *Directory) take(p *peer, g *control.Gossip, reply *control.GossipReply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.merge(reply.All, p.addr, d.now())
@@ -175,7 +181,6 @@
 	case g.Digest != 0:
 		p.differs = 0
 	}
-	return nil
 }
 
 // settle notes whether the peer was reached.
--- a/control/gossip/save.go
+++ b/control/gossip/save.go
@@ -51,23 +51,13 @@
 	var saved []byte
 	for ctx.Err() == nil {
 		d.mu.Lock()
-		list := d.dir.All(0)
 		changed := d.changed
 		d.mu.Unlock()
-		for i := range list {
-			// Renewals alone call for no write.
-			list[i].Sequence, list[i].Warmup = 0, 0
-		}
-		body, err := cluster.Encode(list)
-		if err == nil && !bytes.Equal(body, saved) {
-			if err = journal.WriteRecord(d.cfg.Dir, directoryFile, list); err == nil {
-				saved = body
-			}
-		}
-		if err != nil {
-			if skipped, ok := limiter.Allow(); ok {
-				d.cfg.Log.Warn(catkinrail.At(err, "write directory", "")).Uint64("skipped", skipped).Msg("directory not saved")
-			}
+		body, err := d.write(saved)
+		if err == nil {
+			saved = body
+		} else if skipped, ok := limiter.Allow(); ok {
+			d.cfg.Log.Warn(catkinrail.At(err, "write directory", "")).Uint64("skipped", skipped).Msg("directory not saved")
 		}
 		sleep(ctx, saveInterval)
 		if err != nil {
@@ -80,3 +70,20 @@
 	}
 	return nil
 }
+
+// write writes the directory unless it is the one that was saved last, and
+// returns its encoding.
+func (d *Directory) write(saved []byte) ([]byte, error) {
+	d.mu.Lock()
+	list := d.dir.All(0)
+	d.mu.Unlock()
+	for i := range list {
+		// Renewals alone call for no write.
+		list[i].Sequence, list[i].Warmup = 0, 0
+	}
+	body, err := cluster.Encode(list)
+	if err != nil || bytes.Equal(body, saved) {
+		return body, err
+	}
+	return body, journal.WriteRecord(d.cfg.Dir, directoryFile, list)
+}
--- /dev/null
+++ b/emulator/cmd/catkinrail-emulator/platform_node.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"catkinrail.example/catkinrail/platform/standin"
+)
+
+// platformNodeCommand prints the settings file of a machine on the stand-in
+// platform.
+func platformNodeCommand(app *kingpin.Application) command {
+	c := app.Command("platform-node", "Print the settings of a machine on the stand-in platform.")
+	name := c.Flag("name", "Name of the machine.").Required().String()
+	zone := c.Flag("zone", "Availability zone.").Required().String()
+	ip := c.Flag("ip", "Address of the machine.").Required().String()
+	seeds := c.Flag("seed", "Address of a control instance; repeat it for up to three.").Required().Strings()
+	data := c.Flag("data", "Folder of the durable state; none on an entry instance.").String()
+	first := c.Flag("first", "The whole system starts for the first time.").Bool()
+	return command{clause: c, run: func(context.Context) error {
+		n := standin.Node{Name: *name, Zone: *zone, Data: *data, First: *first}
+		var err error
+		if n.IP, err = netip.ParseAddr(*ip); err != nil {
+			return err
+		}
+		for _, text := range *seeds {
+			seed, err := netip.ParseAddr(text)
+			if err != nil {
+				return err
+			}
+			n.Seeds = append(n.Seeds, seed)
+		}
+		fmt.Print(n.Settings())
+		return nil
+	}}
+}
