--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -30,6 +30,9 @@
 	// staleAfter is how long a control instance may be out of touch with its
 	// leader before another is tried: an election or two.
 	staleAfter = 1200 * time.Millisecond
+	// staleFirst is the same before the first document: any control instance that
+	// has it will do, and service waits for it.
+	staleFirst = 200 * time.Millisecond
 	// returnAfter is the time after which the control instance of the own zone is
 	// tried again.
 	returnAfter = 5 * time.Second
@@ -216,7 +219,11 @@
 // leave reports whether another control instance should be followed.
 func (s *session) leave() bool {
 	now := s.client.clock.Now()
-	if now.Sub(s.current) > staleAfter {
+	patience := staleAfter
+	if !s.client.Ready() {
+		patience = staleFirst
+	}
+	if now.Sub(s.current) > patience {
 		s.client.log.Info().Str("control", s.addr).Dur("age", now.Sub(s.current)).Msg("control instance is out of touch")
 		s.moved = true
 		return true
--- a/transport/rpc/rpc.go
+++ b/transport/rpc/rpc.go
@@ -22,10 +22,6 @@
 
 // Limits of connections.
 const (
-	// dialTimeout exceeds the latency between regions many times, and is below the
-	// second after which the kernel repeats an opening packet that a machine
-	// without power didn't answer.
-	dialTimeout = 250 * time.Millisecond
 	// idleTimeout ends a connection on which no call has come for that long.
 	idleTimeout = 2 * time.Minute
 	// maxMessage bounds a message in bytes, above a snapshot at the planned size.
@@ -171,10 +167,9 @@
 	if c.creds == nil && !loopback(c.addr) {
 		return nil, ErrInsecure
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", c.addr)
+	nc, err := dialTCP(ctx, c.addr)
 	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
+		return nil, err
 	}
 	nc = &countingConn{Conn: nc, client: c}
 	if !c.creds.plain() {
