follow, packet: test streams and the worker; never return to a control instance just left

Found by a test: the control instance of the own zone, just left because it was out of touch, could be chosen again at once.

--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -82,12 +82,14 @@
 // Run follows control until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	backoff := minBackoff
-	avoidOwn := false
+	own := false
 	for ctx.Err() == nil {
-		addr, own := c.choose(avoidOwn)
+		// Whatever ended a stream from the own zone, another instance is known to
+		// be worth a try before it.
+		var addr string
+		addr, own = c.choose(own)
 		s := &session{client: c, addr: addr, own: own}
 		err := s.run(ctx)
-		avoidOwn = own && !s.useful
 		if s.updates > 0 {
 			backoff = minBackoff
 		}
@@ -117,21 +119,27 @@
 func (c *Client) choose(avoidOwn bool) (addr string, own bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if addr := c.ownZone(); addr != "" && !avoidOwn {
-		return addr, true
+	ownAddr := c.ownZone()
+	if ownAddr != "" && !avoidOwn {
+		return ownAddr, true
 	}
 	var list []string
+	add := func(addr string) {
+		if addr != ownAddr && !slices.Contains(list, addr) {
+			list = append(list, addr)
+		}
+	}
 	for _, p := range c.peers {
-		list = append(list, p.Addr)
+		add(p.Addr)
 	}
 	for _, seed := range c.seeds {
-		if !slices.Contains(list, seed) {
-			list = append(list, seed)
-		}
+		add(seed)
+	}
+	if len(list) == 0 {
+		return ownAddr, true
 	}
 	c.at++
-	addr = list[c.at%len(list)]
-	return addr, addr == c.ownZone()
+	return list[c.at%len(list)], false
 }
 
 // ownZone returns a control instance of the own zone, or an empty string. The
@@ -172,7 +180,6 @@
 	// current is the time of the last update of an instance in touch with its
 	// leader.
 	current time.Time
-	useful  bool
 	// moved is set if the stream was ended for a better one.
 	moved bool
 }
@@ -241,7 +248,7 @@
 	s.updates++
 	c.setPeers(u.Peers)
 	if u.Current {
-		s.current, s.useful = c.clock.Now(), true
+		s.current = c.clock.Now()
 	}
 	list := make([]token.Followed, len(u.Backends))
 	for i := range u.Backends {
--- /dev/null
+++ b/entry/follow/client_test.go
@@ -0,0 +1,193 @@
+package follow
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/coordination/token"
+	"catkinrail.example/catkinrail/entry/packet"
+	"catkinrail.example/catkinrail/logs"
+	"catkinrail.example/catkinrail/protocol/control"
+	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/transport/clock"
+	"catkinrail.example/catkinrail/transport/rpc"
+)
+
+func newClient(zone catkinrail.Zone, seeds ...string) (*Client, *packet.Router) {
+	clk := clock.New()
+	r := packet.NewRouter(token.New(zone, 1), clk)
+	return New("entry-1", zone, seeds, nil, clk, r, logs.Discard()), r
+}
+
+func TestChoose(t *testing.T) {
+	peers := []quorum.Peer{{Addr: "a:1", Zone: "a"}, {Addr: "b:1", Zone: "b"}}
+	tests := []struct {
+		name     string
+		zone     catkinrail.Zone
+		peers    []quorum.Peer
+		avoidOwn bool
+		own      bool
+		among    []string
+	}{
+		{"before any is known", "a", nil, false, false, []string{"s:1", "s:2"}},
+		{"own zone first", "a", peers, false, true, []string{"a:1"}},
+		{"anyone but the own zone's", "a", peers, true, false, []string{"b:1", "s:1", "s:2"}},
+		{"no instance in the own zone", "c", peers, false, false, []string{"a:1", "b:1", "s:1", "s:2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, _ := newClient(tt.zone, "s:1", "s:2")
+			c.setPeers(tt.peers)
+			seen := map[string]bool{}
+			for range 20 {
+				addr, own := c.choose(tt.avoidOwn)
+				require.Equal(t, tt.own, own)
+				require.Contains(t, tt.among, addr)
+				seen[addr] = true
+			}
+			require.Len(t, seen, len(tt.among), "each of them is tried")
+		})
+	}
+}
+
+// standIn is a control instance that sends prepared updates and then waits.
+type standIn struct {
+	control.DRPCControlUnimplementedServer
+	updates []*control.FollowUpdate
+
+	mu    sync.Mutex
+	calls int
+}
+
+// Follow implements control.DRPCControlServer.
+func (s *standIn) Follow(_ *control.Frame, stream control.DRPCControl_FollowStream) error {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	for _, u := range s.updates {
+		body, err := cluster.EncodePacked(u)
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(&control.Frame{Body: body}); err != nil {
+			return err
+		}
+	}
+	<-stream.Context().Done()
+	return stream.Context().Err()
+}
+
+func (s *standIn) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// serve runs a stand-in on loopback and returns its address.
+func serve(t *testing.T, s *standIn) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	mux := drpcmux.New()
+	require.NoError(t, control.DRPCRegisterControl(mux, s))
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return rpc.Serve(ctx, l, mux) })
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, g.Wait())
+	})
+	return l.Addr().String()
+}
+
+func follow(t *testing.T, c *Client, done func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	g.Go(func() error { return c.Run(ctx) })
+	require.Eventually(t, done, time.Minute, time.Millisecond)
+	cancel()
+	require.NoError(t, g.Wait())
+}
+
+func document(version uint64) *catkinrail.Document {
+	return &catkinrail.Document{Version: version, Services: []string{"logbook"}, Routes: []catkinrail.Route{{
+		Name: "r", Listen: netip.MustParseAddrPort("198.18.0.1:443"), Kind: catkinrail.KindSafe, Timeout: time.Second,
+		Targets: []catkinrail.Target{{Service: "logbook", Weight: 1}},
+	}}}
+}
+
+func version(r *packet.Router) uint64 {
+	var v uint64
+	r.Do(func(e *token.Engine, _ int64) { v = e.Version() })
+	return v
+}
+
+func TestReadyOnceControlIsCurrent(t *testing.T) {
+	s := &standIn{updates: []*control.FollowUpdate{{Document: document(5), Current: true}}}
+	c, r := newClient("a", serve(t, s))
+	require.False(t, c.Ready())
+	follow(t, c, c.Ready)
+	require.Equal(t, uint64(5), version(r))
+}
+
+// TestLeavesAnInstanceThatIsNotCurrent has one that is out of touch with its
+// leader and one that has the document.
+func TestLeavesAnInstanceThatIsNotCurrent(t *testing.T) {
+	old := &standIn{updates: []*control.FollowUpdate{{}, {}}}
+	current := &standIn{updates: []*control.FollowUpdate{{Document: document(5), Current: true}}}
+	c, r := newClient("a", serve(t, old), serve(t, current))
+	follow(t, c, c.Ready)
+	require.Equal(t, uint64(5), version(r))
+}
+
+func TestMovesToItsOwnZone(t *testing.T) {
+	own := &standIn{updates: []*control.FollowUpdate{{Document: document(6), Current: true}}}
+	ownAddr := serve(t, own)
+	other := &standIn{updates: []*control.FollowUpdate{{
+		Document: document(5), Current: true, Peers: []quorum.Peer{{Addr: ownAddr, Zone: "a"}},
+	}}}
+	c, r := newClient("a", serve(t, other))
+	follow(t, c, func() bool { return version(r) == 6 })
+	require.Equal(t, 1, other.count())
+}
+
+func TestSurvivesInstancesThatAreGone(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := l.Addr().String()
+	require.NoError(t, l.Close())
+	s := &standIn{updates: []*control.FollowUpdate{{Document: document(5), Current: true}}}
+	c, _ := newClient("a", gone, serve(t, s), gone)
+	follow(t, c, c.Ready)
+}
+
+// TestUpdateFitsAThinLink bounds the document of 400 routes, which must reach an
+// entry instance over 1.4 Mbit/s in well under the second after which it gives
+// up on a silent control instance: 350 ms at the most.
+func TestUpdateFitsAThinLink(t *testing.T) {
+	d := document(1)
+	for i := range 400 {
+		r := d.Routes[0]
+		r.Name = "r-" + netip.AddrFrom4([4]byte{1, 2, byte(i >> 8), byte(i)}).String()
+		r.Listen = netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+		d.Routes = append(d.Routes, r)
+	}
+	body, err := cluster.EncodePacked(&control.FollowUpdate{Document: d})
+	require.NoError(t, err)
+	const bound = 1_400_000 / 8 * 350 / 1000
+	require.Less(t, len(body), bound)
+	var u control.FollowUpdate
+	require.NoError(t, cluster.DecodePacked(body, &u))
+	require.Equal(t, d, u.Document)
+}
