ctl: explain a flow from log files; stamp lines with milliseconds

catkinctl explain CALLER LOG... prints the decisions about a flow across processes and what changed the beliefs behind them.

--- a/ctl/commands/commands.go
+++ b/ctl/commands/commands.go
@@ -59,9 +59,12 @@
 	backendList, backendDrain, backendReadmit,
 	instanceList, instanceRemove,
 	zoneLost, zoneRestored,
-	status, watch, outcome, burnReport, checkSettings,
+	status, watch, outcome, burnReport, checkSettings, explainFlow,
 }
 
+// offline names the commands that need no control instance.
+var offline = map[string]bool{"check": true, "explain": true}
+
 // New returns the command line with all commands.
 func New(out, errOut io.Writer) *App {
 	a := &App{out: out, errOut: errOut, runs: map[string]func(context.Context) error{}}
@@ -103,7 +106,7 @@
 		fmt.Fprintf(a.errOut, "catkinctl: %v\n", err)
 		return ExitInvalid
 	}
-	if name != "check" {
+	if !offline[name] {
 		if err := a.connect(); err != nil {
 			fmt.Fprintf(a.errOut, "catkinctl: %v\n", err)
 			return ExitInvalid
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -66,10 +66,21 @@
 	if err != nil {
 		level = zerolog.InfoLevel
 	}
-	z := zerolog.New(w).Level(level).With().Timestamp().Str("program", program).Str("instance", instance).Logger()
+	z := zerolog.New(w).Level(level).Hook(stamp{}).With().Str("program", program).Str("instance", instance).Logger()
 	return &Logger{z: z}
 }
 
+// timeFormat gives milliseconds, in which flows open and end.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// stamp adds the wall clock's time to a line.
+type stamp struct{}
+
+// Run implements zerolog.Hook.
+func (stamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str("time", time.Now().UTC().Format(timeFormat))
+}
+
 // Discard returns a logger that writes nothing.
 func Discard() *Logger {
 	return &Logger{z: zerolog.Nop()}
