--- a/emulator/bench/forward.go
+++ b/emulator/bench/forward.go
@@ -39,16 +39,35 @@
 	Ratio float64
 }
 
+// forwarder forwards what comes in to one address, and counts it.
+type forwarder func(ctx context.Context, in *udp.Conn, to netip.AddrPort, handled *atomic.Int64) error
+
+// load is what a forwarder is measured with.
+type load struct {
+	forward forwarder
+	// packet returns the i-th flow's packet.
+	packet func(i int) []byte
+}
+
 // MeasureForwarding measures one worker of the entry instance and one bare
-// forwarder in turn, each on one thread, under the same load.
+// forwarder in turn, each on one thread, under the same load of IP in UDP.
 func MeasureForwarding(ctx context.Context) (Forwarding, error) {
+	return measurePairs(ctx, load{forward: runEntry, packet: ipPacket})
+}
+
+// MeasureTokenForwarding is MeasureForwarding for packets with a routing token.
+func MeasureTokenForwarding(ctx context.Context) (Forwarding, error) {
+	return measurePairs(ctx, load{forward: runToken, packet: tokenPacket})
+}
+
+func measurePairs(ctx context.Context, l load) (Forwarding, error) {
 	var entries, bares, ratios []float64
 	for range pairs {
-		e, err := forwardRate(ctx, true)
+		e, err := forwardRate(ctx, l)
 		if err != nil {
 			return Forwarding{}, err
 		}
-		b, err := forwardRate(ctx, false)
+		b, err := forwardRate(ctx, load{forward: runBare, packet: l.packet})
 		if err != nil {
 			return Forwarding{}, err
 		}
@@ -63,7 +82,7 @@
 }
 
 // forwardRate returns the packets a second that reach the sink.
-func forwardRate(ctx context.Context, entry bool) (float64, error) {
+func forwardRate(ctx context.Context, l load) (float64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
@@ -81,13 +100,10 @@
 	g.Go(func() error {
 		runtime.LockOSThread()
 		defer runtime.UnlockOSThread()
-		if entry {
-			return runEntry(ctx, in, sink.LocalAddr(), &handled)
-		}
-		return runBare(ctx, in, sink.LocalAddr(), &handled)
+		return l.forward(ctx, in, sink.LocalAddr(), &handled)
 	})
 	for i := range senders {
-		g.Go(func() error { return send(ctx, in.LocalAddr(), i) })
+		g.Go(func() error { return send(ctx, in.LocalAddr(), l.packet, i) })
 	}
 	pause(ctx, warmTime)
 	before, began := handled.Load(), time.Now()
@@ -148,7 +164,7 @@
 }
 
 // send sends packets of many flows as fast as it can until ctx ends.
-func send(ctx context.Context, to netip.AddrPort, worker int) error {
+func send(ctx context.Context, to netip.AddrPort, packet func(i int) []byte, worker int) error {
 	conn, err := udp.Listen(ctx, netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		return err
@@ -156,15 +172,19 @@
 	defer conn.Close()
 	packets := make([][]byte, benchFlows)
 	for i := range packets {
-		h := ip.Header{}
-		setFlow(&h, worker*benchFlows+i)
-		h.Key.Dst = serviceAddr.Addr().As16()
-		h.Key.DstPort = serviceAddr.Port()
-		h.Key.Proto = catkinrail.ProtoTCP
-		packets[i] = ip.Append(nil, &ip.Segment{Key: h.Key, Flags: ip.FlagACK, Payload: make([]byte, payloadSize)})
+		packets[i] = packet(worker*benchFlows + i)
 	}
 	for i := 0; ctx.Err() == nil; i++ {
 		conn.Queue(to, packets[i%benchFlows])
 	}
 	return nil
 }
+
+func ipPacket(i int) []byte {
+	h := ip.Header{}
+	setFlow(&h, i)
+	h.Key.Dst = serviceAddr.Addr().As16()
+	h.Key.DstPort = serviceAddr.Port()
+	h.Key.Proto = catkinrail.ProtoTCP
+	return ip.Append(nil, &ip.Segment{Key: h.Key, Flags: ip.FlagACK, Payload: make([]byte, payloadSize)})
+}
--- a/emulator/cmd/catkinrail-emulator/bench.go
+++ b/emulator/cmd/catkinrail-emulator/bench.go
@@ -37,6 +37,20 @@
 		fmt.Printf("decision-moving-ns: %.1f\n", moving[last].Nanos)
 		fmt.Printf("decision-allocs: %.2f\n", max(settled[last].Allocs, moving[last].Allocs))
 		fmt.Printf("decision-growth: %.3f\n", settled[last].Nanos/settled[0].Nanos)
-		return nil
+		return benchToken(ctx, sizes[last])
 	}}
 }
+
+// benchToken measures routing by token.
+func benchToken(ctx context.Context, flows int) error {
+	d := bench.MeasureTokenDecision(flows)
+	f, err := bench.MeasureTokenForwarding(ctx)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("forwarding by token on one thread: entry %.0f, bare %.0f packets a second\n", f.Entry, f.Bare)
+	fmt.Printf("token-forwarding-ratio: %.3f\n", f.Ratio)
+	fmt.Printf("token-decision-ns: %.1f\n", d.Nanos)
+	fmt.Printf("token-decision-allocs: %.2f\n", d.Allocs)
+	return nil
+}
--- a/entry/packet/worker.go
+++ b/entry/packet/worker.go
@@ -100,12 +100,12 @@
 			}
 			return catkinrail.At(err, "receive packets", "")
 		}
-		w.serve(n)
+		w.Batch(n)
 	}
 }
 
-// serve handles the datagrams of one read.
-func (w *Worker) serve(n int) {
+// Batch handles the datagrams of the socket's last read.
+func (w *Worker) Batch(n int) {
 	w.arena = w.arena[:0]
 	w.verdicts = w.verdicts[:0]
 	w.router.Do(func(e *token.Engine, now int64) {
--- a/entry/packet/worker_test.go
+++ b/entry/packet/worker_test.go
@@ -101,7 +101,7 @@
 			var lines bytes.Buffer
 			w, s, reg := newWorker(t, &lines)
 			s.in = [][]byte{tt.in}
-			w.serve(1)
+			w.Batch(1)
 			require.Equal(t, int64(1), metrics.GetOrRegisterCounter(tt.reason, reg).Count())
 			if tt.size == 0 {
 				require.Empty(t, s.out)
@@ -125,18 +125,18 @@
 	for i := range 10 * logLines {
 		s.in = append(s.in, opening(uint16(i), netip.MustParseAddrPort("198.18.0.1:443")))
 	}
-	w.serve(len(s.in))
+	w.Batch(len(s.in))
 	require.Len(t, s.out, len(s.in))
 	require.Equal(t, logLines, strings.Count(lines.String(), "\n"))
 	w.router.clock.(*manual).now = time.Unix(1001, 0)
 	s.in = s.in[:1]
-	w.serve(1)
+	w.Batch(1)
 	require.Contains(t, lines.String(), fmt.Sprintf(`"skipped":%d`, 9*logLines))
 }
 
 func TestFailedSendsAreCounted(t *testing.T) {
 	w, s, reg := newWorker(t, &bytes.Buffer{})
 	s.in, s.failed = [][]byte{opening(1, netip.MustParseAddrPort("198.18.0.1:443"))}, 1
-	w.serve(1)
+	w.Batch(1)
 	require.Equal(t, int64(1), metrics.GetOrRegisterCounter("packets-send-failed", reg).Count())
 }
