gossip, follow: entry instances wait for a directory that is complete

An instance whose disk was lost knew the document before it had exchanged the directory; an entry instance that started then would have been ready and have refused flows to servers that it didn't know.

--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -122,7 +122,7 @@
 		u.Backends = append(u.Backends, control.FollowedBackend{Incarnation: views[i].Incarnation, Silent: views[i].Silent})
 	}
 	pos.revision = at
-	u.Synced = true
+	u.Complete = s.dir.Complete()
 	return u, changed
 }
 
--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -67,6 +67,10 @@
 	// changed is closed and replaced after each change.
 	changed chan struct{}
 	ticked  int64
+	// exchanged is set once a peer has told its whole directory.
+	exchanged bool
+	// managed is set once the peers are known.
+	managed bool
 }
 
 var _ catkinrail.BackendRegistry = (*Directory)(nil)
@@ -176,6 +180,14 @@
 	return d.dir.Since(revision, d.now()), d.dir.Revision(), d.changed
 }
 
+// Complete reports whether the directory holds what the others knew when this
+// instance started: it has exchanged it with one of them, or is alone.
+func (d *Directory) Complete() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.exchanged || (d.managed && len(d.peers) == 0)
+}
+
 // Start runs the directory in the group.
 func (d *Directory) Start(ctx context.Context) {
 	d.cfg.Group.Go(func() error { return d.manage(ctx) })
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -218,3 +218,17 @@
 	_, err = d.write(nil)
 	require.ErrorIs(t, err, fake.ErrFull)
 }
+
+func TestCompleteOnceExchanged(t *testing.T) {
+	p := newPair(t)
+	require.False(t, p.a.Complete())
+	p.fail()
+	require.False(t, p.a.Complete())
+	p.exchange()
+	require.True(t, p.a.Complete())
+
+	alone := newDirectory(p.clock, "c", nil)
+	require.False(t, alone.Complete(), "its peers are not known yet")
+	alone.managed = true
+	require.True(t, alone.Complete())
+}
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -64,6 +64,7 @@
 	delete(want, d.cfg.Self.Addr)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.managed = true
 	for addr, p := range d.peers {
 		if _, ok := want[addr]; !ok {
 			p.cancel()
@@ -175,6 +176,10 @@
 	switch {
 	case g.Full:
 		p.full, p.differs = false, 0
+		if !d.exchanged {
+			d.exchanged = true
+			d.wake()
+		}
 	case reply.Differs:
 		p.differs++
 		p.full = p.differs >= maxDiffers
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -278,7 +278,7 @@
 	if s.updates == 1 {
 		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
 	}
-	if version > 0 && u.Current && !c.synced.Swap(true) {
+	if version > 0 && u.Current && u.Complete && !c.synced.Swap(true) {
 		c.log.Info().Uint64("version", version).Int("backends", len(list)).Msg("ready")
 	}
 }
--- a/protocol/control/messages.go
+++ b/protocol/control/messages.go
@@ -139,6 +139,7 @@
 	Peers []quorum.Peer `cbor:"3,keyasint,omitempty"`
 	// Current says that the sender is in touch with the leader.
 	Current bool `cbor:"4,keyasint,omitempty"`
-	// Synced says that the sender's whole directory has been sent.
-	Synced bool `cbor:"5,keyasint,omitempty"`
+	// Complete says that the sender's directory, which has been sent, holds what
+	// the other control instances knew when it started.
+	Complete bool `cbor:"5,keyasint,omitempty"`
 }
