follow, directory: encode the directory and its changes once for all streams

Change: the directory lists its changes in order, so that telling them costs what has changed; frames are encoded once and shared.

--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -154,11 +154,7 @@
 	if err := open(stream.Context(), f, &req, rpc.RoleEntry); err != nil {
 		return err
 	}
-	return s.follow.Serve(stream.Context(), &req, func(u *control.FollowUpdate) error {
-		body, err := cluster.EncodePacked(u)
-		if err != nil {
-			return err
-		}
+	return s.follow.Serve(stream.Context(), &req, func(body []byte) error {
 		return stream.Send(&control.Frame{Body: body})
 	})
 }
--- /dev/null
+++ b/control/follow/feed_test.go
@@ -0,0 +1,104 @@
+package follow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/control/gossip"
+	"catkinrail.example/catkinrail/coordination/token"
+	"catkinrail.example/catkinrail/logs"
+	"catkinrail.example/catkinrail/protocol/control"
+	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/transport/clock"
+)
+
+func newDirectory() *gossip.Directory {
+	return gossip.New(gossip.Config{Clock: clock.New(), Log: logs.Discard(), Silent: time.Hour})
+}
+
+func incarnation(n int, sequence uint64, draining bool) *catkinrail.Incarnation {
+	return &catkinrail.Incarnation{
+		Name: "i-" + string(rune('a'+n)), Identity: uint64(n + 1), Born: 1, Sequence: sequence, Service: "logbook", Slots: 2, Zone: "a",
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80), Draining: draining,
+	}
+}
+
+func decode(t require.TestingT, body []byte) *control.FollowUpdate {
+	var u control.FollowUpdate
+	require.NoError(t, cluster.DecodePacked(body, &u))
+	return &u
+}
+
+// TestStreamsShareFrames lets streams that begin at different times catch up: they
+// know the same in the end, and from then on share what is encoded.
+func TestStreamsShareFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDirectory()
+		f := newFeed(d)
+		engines := []*token.Engine{token.New("a", 1), token.New("a", 1), token.New("a", 1)}
+		at := make([]uint64, len(engines))
+		now := int64(0)
+		catchUp := func(i int) *frame {
+			var last *frame
+			for {
+				fr, _, err := f.next(at[i], now)
+				require.NoError(t, err)
+				if fr == nil {
+					return last
+				}
+				var list []token.Followed
+				for _, b := range decode(t, fr.body).Backends {
+					list = append(list, token.Followed{Incarnation: b.Incarnation, Silent: b.Silent})
+				}
+				engines[i].Update(list, now)
+				at[i], last = fr.to, fr
+			}
+		}
+		sequence := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += int64(rapid.IntRange(0, 400).Draw(t, "millis")) * int64(time.Millisecond)
+			sequence++
+			n := rapid.IntRange(0, 5).Draw(t, "backend")
+			switch rapid.IntRange(0, 3).Draw(t, "change") {
+			case 0:
+				d.Leave(incarnation(n, 0, false).Name, 1)
+			default:
+				d.Report(incarnation(n, sequence, rapid.Bool().Draw(t, "draining")))
+			}
+			if i := rapid.IntRange(0, len(engines)).Draw(t, "stream"); i < len(engines) {
+				catchUp(i)
+			}
+		}
+		for i := range engines {
+			catchUp(i)
+		}
+		for _, e := range engines[1:] {
+			require.Equal(t, engines[0].Backends(), e.Backends())
+		}
+		d.Report(incarnation(7, 1, false))
+		first := catchUp(0)
+		for i := range engines[1:] {
+			require.Same(t, first, catchUp(i+1))
+		}
+	})
+}
+
+func TestDocumentIsEncodedOnceWithoutItsSource(t *testing.T) {
+	f := newFeed(newDirectory())
+	d := &catkinrail.Document{Version: 3, Source: []byte("as sent")}
+	first, err := f.encodeDocument(d)
+	require.NoError(t, err)
+	again, err := f.encodeDocument(d)
+	require.NoError(t, err)
+	require.Same(t, &first[0], &again[0])
+	require.Empty(t, decode(t, first).Document.Source)
+	require.Equal(t, "as sent", string(d.Source))
+	next, err := f.encodeDocument(&catkinrail.Document{Version: 4})
+	require.NoError(t, err)
+	require.Equal(t, uint64(4), decode(t, next).Document.Version)
+}
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -17,70 +17,75 @@
 
 // Timing of the stream.
 const (
-	// settleTime lets changes that come together travel together.
-	settleTime = 10 * time.Millisecond
+	// settleTime lets changes that come together travel together: a hundredth of
+	// the usual bound on a draining server.
+	settleTime = 30 * time.Millisecond
 	// currentSpan is the time since the last word of a leader for which this
 	// instance counts as current: a few heartbeats.
 	currentSpan = time.Second
+	// keepAlive is the longest time between two updates.
+	keepAlive = 400 * time.Millisecond
 )
 
-// KeepAlive is the longest time between two updates.
-const KeepAlive = 400 * time.Millisecond
-
 // Server sends updates.
 type Server struct {
 	core  *core.Core
 	dir   *gossip.Directory
+	feed  *feed
 	clock catkinrail.Clock
 	log   *logs.Logger
 }
 
 // New returns a server.
 func New(c *core.Core, dir *gossip.Directory, clock catkinrail.Clock, log *logs.Logger) *Server {
-	return &Server{core: c, dir: dir, clock: clock, log: log}
+	return &Server{core: c, dir: dir, feed: newFeed(dir), clock: clock, log: log}
 }
 
-// position is how far a stream has come.
-type position struct {
+// stream is what one entry instance has been told.
+type stream struct {
+	*Server
+	send     func(body []byte) error
 	document uint64
 	revision uint64
 	members  *quorum.Members
+	current  bool
+	complete bool
 }
 
 // Serve sends updates until ctx ends or send fails.
-func (s *Server) Serve(ctx context.Context, req *control.FollowRequest, send func(*control.FollowUpdate) error) error {
+func (s *Server) Serve(ctx context.Context, req *control.FollowRequest, send func(body []byte) error) error {
 	s.log.Info().Str("entry", req.Name).Str("zone", string(req.Zone)).Uint64("document", req.Document).Msg("entry instance follows")
-	pos := position{document: req.Document}
-	keepAlive := time.NewTicker(KeepAlive)
-	defer keepAlive.Stop()
+	x := &stream{Server: s, send: send, document: req.Document}
+	beat := time.NewTicker(keepAlive)
+	defer beat.Stop()
+	due := true
 	for {
-		c := s.core
-		advanced := c.Advanced()
-		u, changed := s.update(c, &pos)
-		if err := send(u); err != nil {
+		advanced := s.core.Advanced()
+		changed, err := x.update(due)
+		if err != nil {
 			s.log.Info().Str("entry", req.Name).Err(err).Msg("entry instance follows no more")
 			return err
 		}
-		if err := s.wait(ctx, advanced, changed, keepAlive.C, c, &pos); err != nil {
+		if due, err = x.wait(ctx, advanced, changed, beat.C); err != nil {
 			return nil
 		}
 	}
 }
 
-// wait returns when there may be something to tell. An advance of the log that
-// changes nothing for an entry instance is none.
-func (s *Server) wait(ctx context.Context, advanced, changed <-chan struct{}, keepAlive <-chan time.Time, c *core.Core, pos *position) error {
+// wait returns when there may be something to tell, and whether a sign of life is
+// due. An advance of the log that changes nothing for an entry instance is none.
+func (x *stream) wait(ctx context.Context, advanced, changed <-chan struct{}, beat <-chan time.Time) (due bool, err error) {
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-keepAlive:
-			return nil
+			return false, ctx.Err()
+		case <-beat:
+			return true, nil
 		case <-changed:
 		case <-advanced:
-			advanced = c.Advanced()
-			snap := c.Snapshot()
-			if version(snap) <= pos.document && snap.Members == pos.members {
+			advanced = x.core.Advanced()
+			snap := x.core.Snapshot()
+			if version(snap) <= x.document && snap.Members == x.members {
 				continue
 			}
 		}
@@ -90,7 +95,7 @@
 		case <-t.C:
 		}
 		t.Stop()
-		return ctx.Err()
+		return false, ctx.Err()
 	}
 }
 
@@ -101,34 +106,62 @@
 	return s.Document.Version
 }
 
-// update returns what the stream hasn't told yet.
-func (s *Server) update(c *core.Core, pos *position) (*control.FollowUpdate, <-chan struct{}) {
-	now := s.clock.Now().UnixNano()
-	u := &control.FollowUpdate{}
-	synced := c.Synced()
-	snap := c.Snapshot()
-	u.Current = synced > 0 && now-synced < int64(currentSpan)
-	if v := version(snap); v > pos.document && u.Current {
-		u.Document, pos.document = bare(snap.Document), v
+// update tells what the stream hasn't told yet: first what is known, then the
+// sender's own state, so that an entry instance that reads that it is complete
+// has it all.
+func (x *stream) update(due bool) (<-chan struct{}, error) {
+	now := x.clock.Now().UnixNano()
+	synced := x.core.Synced()
+	snap := x.core.Snapshot()
+	current := synced > 0 && now-synced < int64(currentSpan)
+	complete := x.dir.Complete()
+	if v := version(snap); v > x.document && current {
+		body, err := x.feed.encodeDocument(snap.Document)
+		if err != nil {
+			return nil, err
+		}
+		if err := x.send(body); err != nil {
+			return nil, err
+		}
+		x.document = v
+	}
+	changed, err := x.tellBackends(now)
+	if err != nil {
+		return nil, err
+	}
+	if !due && current == x.current && complete == x.complete && snap.Members == x.members {
+		return changed, nil
+	}
+	x.current, x.complete = current, complete
+	return changed, x.tellState(snap)
+}
+
+// tellBackends sends the changes of the directory, up to the latest.
+func (x *stream) tellBackends(now int64) (<-chan struct{}, error) {
+	for {
+		fr, changed, err := x.feed.next(x.revision, now)
+		if err != nil || fr == nil {
+			return changed, err
+		}
+		if err := x.send(fr.body); err != nil {
+			return nil, err
+		}
+		x.revision = fr.to
 	}
-	if snap.Members != pos.members {
-		pos.members = snap.Members
+}
+
+// tellState sends the sender's own state.
+func (x *stream) tellState(snap *core.Snapshot) error {
+	u := &control.FollowUpdate{Current: x.current, Complete: x.complete, State: true}
+	if snap.Members != x.members {
+		x.members = snap.Members
 		for _, id := range cluster.SortedKeys(snap.Members.Nodes) {
 			u.Peers = append(u.Peers, snap.Members.Nodes[id])
 		}
 	}
-	views, at, changed := s.dir.Since(pos.revision)
-	for i := range views {
-		u.Backends = append(u.Backends, control.FollowedBackend{Incarnation: views[i].Incarnation, Silent: views[i].Silent})
+	body, err := cluster.EncodePacked(u)
+	if err != nil {
+		return err
 	}
-	pos.revision = at
-	u.Complete = s.dir.Complete()
-	return u, changed
-}
-
-// bare returns the document without its source, which only operators read.
-func bare(d *catkinrail.Document) *catkinrail.Document {
-	c := *d
-	c.Source = nil
-	return &c
+	return x.send(body)
 }
--- a/control/gossip/save.go
+++ b/control/gossip/save.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -77,6 +78,7 @@
 	d.mu.Lock()
 	list := d.dir.All(0)
 	d.mu.Unlock()
+	slices.SortFunc(list, func(a, b catkinrail.Incarnation) int { return cmp.Compare(a.Name, b.Name) })
 	for i := range list {
 		// Renewals alone call for no write.
 		list[i].Sequence, list[i].Warmup = 0, 0
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -124,3 +124,15 @@
 		}
 	}
 }
+
+// Backends returns the incarnations that are known, by name.
+func (e *Engine) Backends() map[string]catkinrail.Incarnation {
+	list := make(map[string]catkinrail.Incarnation, len(e.backends))
+	for name, b := range e.backends {
+		inc := b.Incarnation
+		// Renewals and the time since a start differ from instance to instance.
+		inc.Sequence, inc.Warmup = 0, 0
+		list[name] = inc
+	}
+	return list
+}
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -215,7 +215,7 @@
 				return err
 			}
 			s.take(&u)
-			if s.leave() {
+			if u.State && s.leave() {
 				cancel()
 				return nil
 			}
@@ -245,7 +245,9 @@
 // take hands an update to the engine.
 func (s *session) take(u *control.FollowUpdate) {
 	c := s.client
-	s.updates++
+	if u.State {
+		s.updates++
+	}
 	c.setPeers(u.Peers)
 	if u.Current {
 		s.current = c.clock.Now()
@@ -275,7 +277,7 @@
 			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Gone).Bool("silent", b.Silent()).
 			Str("control", s.addr).Msg("backend server changed")
 	}
-	if s.updates == 1 {
+	if u.State && s.updates == 1 {
 		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
 	}
 	if version > 0 && u.Current && u.Complete && !c.synced.Swap(true) {
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -134,7 +134,7 @@
 }
 
 func TestReadyOnceControlIsCurrent(t *testing.T) {
-	s := &standIn{updates: []*control.FollowUpdate{{Document: document(5), Current: true, Complete: true}}}
+	s := &standIn{updates: []*control.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
 	c, r := newClient("a", serve(t, s))
 	require.False(t, c.Ready())
 	follow(t, c, c.Ready)
@@ -146,7 +146,7 @@
 // that took its word would refuse flows.
 func TestNotReadyOnAnIncompleteDirectory(t *testing.T) {
 	s := &standIn{updates: []*control.FollowUpdate{
-		{Document: document(5), Current: true}, {Current: true}, {Current: true, Complete: true},
+		{Document: document(5), Current: true}, {Current: true}, {State: true, Current: true, Complete: true},
 	}}
 	c, r := newClient("a", serve(t, s))
 	x := &session{client: c, addr: "control-1", began: c.clock.Now()}
@@ -161,18 +161,18 @@
 // TestLeavesAnInstanceThatIsNotCurrent has one that is out of touch with its
 // leader and one that has the document.
 func TestLeavesAnInstanceThatIsNotCurrent(t *testing.T) {
-	old := &standIn{updates: []*control.FollowUpdate{{}, {}}}
-	current := &standIn{updates: []*control.FollowUpdate{{Document: document(5), Current: true, Complete: true}}}
+	old := &standIn{updates: []*control.FollowUpdate{{State: true}, {State: true}}}
+	current := &standIn{updates: []*control.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
 	c, r := newClient("a", serve(t, old), serve(t, current))
 	follow(t, c, c.Ready)
 	require.Equal(t, uint64(5), version(r))
 }
 
 func TestMovesToItsOwnZone(t *testing.T) {
-	own := &standIn{updates: []*control.FollowUpdate{{Document: document(6), Current: true, Complete: true}}}
+	own := &standIn{updates: []*control.FollowUpdate{{Document: document(6), State: true, Current: true, Complete: true}}}
 	ownAddr := serve(t, own)
 	other := &standIn{updates: []*control.FollowUpdate{{
-		Document: document(5), Current: true, Complete: true, Peers: []quorum.Peer{{Addr: ownAddr, Zone: "a"}},
+		Document: document(5), State: true, Current: true, Complete: true, Peers: []quorum.Peer{{Addr: ownAddr, Zone: "a"}},
 	}}}
 	c, r := newClient("a", serve(t, other))
 	follow(t, c, func() bool { return version(r) == 6 })
@@ -184,7 +184,7 @@
 	require.NoError(t, err)
 	gone := l.Addr().String()
 	require.NoError(t, l.Close())
-	s := &standIn{updates: []*control.FollowUpdate{{Document: document(5), Current: true, Complete: true}}}
+	s := &standIn{updates: []*control.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
 	c, _ := newClient("a", gone, serve(t, s), gone)
 	follow(t, c, c.Ready)
 }
--- a/protocol/control/messages.go
+++ b/protocol/control/messages.go
@@ -137,6 +137,9 @@
 	Backends []FollowedBackend    `cbor:"2,keyasint,omitempty"`
 	// Peers are the control instances.
 	Peers []quorum.Peer `cbor:"3,keyasint,omitempty"`
+	// State is set on updates that tell the sender's own state, in the fields
+	// below. They follow what they speak of.
+	State bool `cbor:"6,keyasint,omitempty"`
 	// Current says that the sender is in touch with the leader.
 	Current bool `cbor:"4,keyasint,omitempty"`
 	// Complete says that the sender's directory, which has been sent, holds what
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -6,9 +6,9 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"maps"
 	"net/netip"
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -40,6 +40,8 @@
 	// maxEntries bounds the directory, above the planned 4,800 backend servers
 	// with a day's replacements.
 	maxEntries = 1 << 15
+	// minOrder is the number of superseded changes that are kept in any case.
+	minOrder = 256
 )
 
 // Directory isn't safe for concurrent use.
@@ -48,6 +50,28 @@
 	entries     map[string]*entry
 	byAddr      map[netip.AddrPort]string
 	revision    uint64
+	// order lists the changes that others must hear of, oldest first. An entry's
+	// latest is always among them.
+	order []change
+}
+
+// change says that an entry got a revision.
+type change struct {
+	revision uint64
+	name     string
+}
+
+// note gives an entry the next revision, as a change that others must hear of.
+func (d *Directory) note(name string, e *entry) {
+	d.revision++
+	e.revision, e.pulse = d.revision, d.revision
+	d.order = append(d.order, change{d.revision, name})
+	if len(d.order) > 2*len(d.entries)+minOrder {
+		d.order = slices.DeleteFunc(d.order, func(c change) bool {
+			e := d.entries[c.name]
+			return e == nil || e.revision != c.revision
+		})
+	}
 }
 
 // New returns an empty directory. A backend server that has not reported for
@@ -104,12 +128,12 @@
 	old.inc = *inc
 	old.heard, old.local, old.silent = now, local, false
 	old.warm = now + int64(inc.Warmup)
-	d.revision++
-	old.pulse = d.revision
 	if same {
+		d.revision++
+		old.pulse = d.revision
 		return Renewed
 	}
-	old.revision = d.revision
+	d.note(inc.Name, old)
 	d.settleAddr(inc)
 	return Changed
 }
@@ -151,8 +175,7 @@
 		return
 	}
 	e.inc.Gone = true
-	d.revision++
-	e.revision, e.pulse = d.revision, d.revision
+	d.note(e.inc.Name, e)
 }
 
 // Leave ends an incarnation. If born is zero, it ends the one that is known.
@@ -181,8 +204,7 @@
 	e.heard = now
 	if e.silent {
 		e.silent = false
-		d.revision++
-		e.revision = d.revision
+		d.note(name, e)
 	}
 	return true
 }
@@ -202,8 +224,7 @@
 		}
 		if !e.silent && !e.inc.Gone && age > d.silentAfter {
 			e.silent = true
-			d.revision++
-			e.revision = d.revision
+			d.note(name, e)
 			silent = append(silent, name)
 		}
 	}
@@ -238,11 +259,13 @@
 	return v
 }
 
-// Since returns what has changed after a revision, in order of name.
+// Since returns what has changed after a revision, oldest change first. Its cost
+// is that of the changes, not of the directory.
 func (d *Directory) Since(revision uint64, now int64) []View {
+	from := sort.Search(len(d.order), func(i int) bool { return d.order[i].revision > revision })
 	var list []View
-	for _, name := range slices.Sorted(maps.Keys(d.entries)) {
-		if e := d.entries[name]; e.revision > revision {
+	for _, c := range d.order[from:] {
+		if e := d.entries[c.name]; e != nil && e.revision == c.revision {
 			list = append(list, e.view(now))
 		}
 	}
@@ -264,7 +287,7 @@
 	return changed, renewed
 }
 
-// All returns every incarnation, in order of name.
+// All returns every incarnation, oldest change first.
 func (d *Directory) All(now int64) []catkinrail.Incarnation {
 	var list []catkinrail.Incarnation
 	for _, v := range d.Since(0, now) {
--- a/state/directory/directory_test.go
+++ b/state/directory/directory_test.go
@@ -179,3 +179,32 @@
 	}
 	return live
 }
+
+// TestChangesAreKeptForEveryRevision draws changes and forgetting; whoever was told
+// up to any revision learns the rest from Since.
+func TestChangesAreKeptForEveryRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := directory.New(silentAfter)
+		told := map[string]directory.View{}
+		at, now := uint64(0), int64(0)
+		for i := range rapid.IntRange(1, 2000).Draw(t, "changes") {
+			now += 1000
+			inc := report(fmt.Sprint("s", i%7), int64(100+i), 1, i%7)
+			inc.Draining = i%3 == 0
+			d.Report(&inc, now, true)
+			if rapid.IntRange(0, 200).Draw(t, "tell") != 0 {
+				continue
+			}
+			for _, v := range d.Since(at, now) {
+				told[v.Name] = v
+			}
+			at = d.Revision()
+		}
+		for _, v := range d.Since(at, now) {
+			told[v.Name] = v
+		}
+		for _, v := range d.Since(0, now) {
+			require.Equal(t, v.Incarnation, told[v.Name].Incarnation)
+		}
+	})
+}
