--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -172,12 +172,12 @@
 	}
 }
 
-// Since returns what has changed after a revision, the revision that this makes,
+// Since returns what has changed after a revision, the revision of the last change,
 // and a channel that is closed at the next change.
 func (d *Directory) Since(revision uint64) (list []directory.View, at uint64, changed <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.dir.Since(revision, d.now()), d.dir.Revision(), d.changed
+	return d.dir.Since(revision, d.now()), d.dir.LastChange(), d.changed
 }
 
 // Complete reports whether the directory holds what the others knew when this
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -245,6 +245,14 @@
 	return d.revision
 }
 
+// LastChange returns the revision of the last change that others must hear of.
+func (d *Directory) LastChange() uint64 {
+	if len(d.order) == 0 {
+		return 0
+	}
+	return d.order[len(d.order)-1].revision
+}
+
 // View is an incarnation with what was observed of it.
 type View struct {
 	catkinrail.Incarnation
