ctl: leave other backend servers out of an explanation

Lines on backend servers name the control instance they came from, and were taken for lines on control.

--- a/coordination/quorum/quorum_test.go
+++ b/coordination/quorum/quorum_test.go
@@ -41,7 +41,7 @@
 	committed map[uint64]quorum.Entry
 	loss      float64
 	seed      uint64
-	timing  quorum.Timing
+	timing    quorum.Timing
 	// leaders gives the member that was first seen leading in each term.
 	leaders map[uint64]quorum.NodeID
 }
--- a/ctl/explain/explain.go
+++ b/ctl/explain/explain.go
@@ -93,7 +93,7 @@
 	line := Line{
 		Time: rec.Time, Instance: rec.Instance, Message: rec.Message, Text: strings.Join(parts, " "),
 		flow: rec.Flow, backends: rec.Backends, document: rec.Version != nil && strings.HasPrefix(rec.Message, "document"),
-		control: rec.Control != "", entry: rec.Program == entryProgram,
+		control: rec.Control != "" && rec.Backend == "", entry: rec.Program == entryProgram,
 	}
 	if rec.Backend != "" {
 		line.backends = append(line.backends, rec.Backend)
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -25,8 +25,16 @@
 		ok      bool
 		skipped uint64
 	}{
-		{1000, true, 0}, {1000, true, 0}, {1000, true, 0}, {1000, false, 0}, {1000, false, 0},
-		{1001, true, 2}, {1001, true, 0}, {1001, true, 0}, {1001, false, 0}, {1005, true, 1},
+		{1000, true, 0},
+		{1000, true, 0},
+		{1000, true, 0},
+		{1000, false, 0},
+		{1000, false, 0},
+		{1001, true, 2},
+		{1001, true, 0},
+		{1001, true, 0},
+		{1001, false, 0},
+		{1005, true, 1},
 	}
 	for i, tt := range tests {
 		clock.now = time.Unix(tt.at, 0)
