--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -59,6 +59,8 @@
 	peers []quorum.Peer
 	// at is the number of the next attempt among all that are not of this zone.
 	at int
+	// ownLeft is the time at which the last stream from the own zone ended.
+	ownLeft time.Time
 }
 
 // New returns a client that finds control through the seeds.
@@ -90,6 +92,9 @@
 		addr, own = c.choose(own)
 		s := &session{client: c, addr: addr, own: own}
 		err := s.run(ctx)
+		if own {
+			c.leftOwn()
+		}
 		if s.updates > 0 {
 			backoff = minBackoff
 		}
@@ -162,12 +167,20 @@
 	c.peers = peers
 }
 
-// better reports whether the control instance of the own zone is another one.
+// leftOwn notes that a stream from the own zone has ended.
+func (c *Client) leftOwn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownLeft = c.clock.Now()
+}
+
+// better reports whether the control instance of the own zone is another one,
+// and its last stream ended long enough ago to try it again.
 func (c *Client) better(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own := c.ownZone()
-	return own != "" && own != addr
+	return own != "" && own != addr && c.clock.Now().Sub(c.ownLeft) > returnAfter
 }
 
 // session is one stream.
@@ -175,7 +188,6 @@
 	client  *Client
 	addr    string
 	own     bool
-	began   time.Time
 	updates int
 	// current is the time of the last update of an instance in touch with its
 	// leader.
@@ -189,8 +201,7 @@
 	defer cancel()
 	silent := time.AfterFunc(silentAfter, cancel)
 	defer silent.Stop()
-	s.began = s.client.clock.Now()
-	s.current = s.began
+	s.current = s.client.clock.Now()
 	cl := rpc.NewClient(s.addr, s.client.creds)
 	defer cl.Close()
 	return cl.Call(ctx, "follow", streamTimeout, func(ctx context.Context, conn drpc.Conn) error {
@@ -235,7 +246,7 @@
 		s.moved = true
 		return true
 	}
-	if !s.own && s.updates == 1 && s.client.better(s.addr) || now.Sub(s.began) > returnAfter && s.client.better(s.addr) {
+	if s.client.better(s.addr) {
 		s.moved = true
 		return true
 	}
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -60,6 +60,31 @@
 	}
 }
 
+// manual is a clock that tests set.
+type manual struct{ now time.Time }
+
+func (m *manual) Now() time.Time { return m.now }
+
+// TestStaysAwayFromAnOwnZoneThatFailed: an instance that stands still must not be
+// asked again each second, with no news meanwhile.
+func TestStaysAwayFromAnOwnZoneThatFailed(t *testing.T) {
+	clk := &manual{now: time.Unix(1000, 0)}
+	c, _ := newClient("a", "s:1")
+	c.clock = clk
+	c.setPeers([]quorum.Peer{{Addr: "a:1", Zone: "a"}, {Addr: "b:1", Zone: "b"}})
+	require.True(t, c.better("b:1"), "not tried yet")
+	require.False(t, c.better("a:1"))
+	c.leftOwn()
+	tests := []struct {
+		after time.Duration
+		want  bool
+	}{{0, false}, {time.Second, false}, {returnAfter, false}, {returnAfter + 1, true}}
+	for _, tt := range tests {
+		clk.now = time.Unix(1000, 0).Add(tt.after)
+		require.Equal(t, tt.want, c.better("b:1"), tt.after)
+	}
+}
+
 // standIn is a control instance that sends prepared updates and then waits.
 type standIn struct {
 	control.DRPCControlUnimplementedServer
@@ -149,7 +174,7 @@
 		{Document: document(5), Current: true}, {Current: true}, {State: true, Current: true, Complete: true},
 	}}
 	c, r := newClient("a", serve(t, s))
-	x := &session{client: c, addr: "control-1", began: c.clock.Now()}
+	x := &session{client: c, addr: "control-1"}
 	for i, u := range s.updates {
 		require.False(t, c.Ready(), i)
 		x.take(u)
