--- a/ctl/commands/commands.go
+++ b/ctl/commands/commands.go
@@ -80,6 +80,8 @@
 	a.kingpin.Flag("certificate", "File of the operator's certificate.").Envar("CATKINCTL_CERTIFICATE").StringVar(&a.tls.Certificate)
 	a.kingpin.Flag("key", "File of the operator's key.").Envar("CATKINCTL_KEY").StringVar(&a.tls.Key)
 	a.kingpin.Flag("insecure", "Use no TLS; for trials on loopback only.").Envar("CATKINCTL_INSECURE").BoolVar(&a.tls.Insecure)
+	a.kingpin.Flag("trusted-network", "Use no TLS; the network must keep others out.").
+		Envar("CATKINCTL_TRUSTED_NETWORK").BoolVar(&a.tls.TrustedNetwork)
 	for _, register := range all {
 		register(a)
 	}
