message, fake: take two arrows out of the lower layers

protocol/control imported coordination and state for the messages in its frames; they are now coordination/message. transport/fake imported the routing engine; it is now fake, beside the layers. No behaviour changes.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -22,6 +22,7 @@
 	"catkinrail.example/catkinrail/control/gossip"
 	"catkinrail.example/catkinrail/control/operator"
 	"catkinrail.example/catkinrail/control/voter"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/platform"
@@ -214,7 +215,7 @@
 // join asks for a vote whenever this instance has none, and when it hears of no
 // leader: it may have been removed while it was away.
 func (d *daemon) join(ctx context.Context, c *core.Core, v *voter.Voters) error {
-	req := &control.JoinRequest{Node: d.identity.Node, Peer: d.self()}
+	req := &message.JoinRequest{Node: d.identity.Node, Peer: d.self()}
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
 	for i := 0; ; i++ {
@@ -231,7 +232,7 @@
 
 // askToJoin asks the leader, if one is known, or else one instance after the
 // other.
-func (d *daemon) askToJoin(ctx context.Context, c *core.Core, v *voter.Voters, req *control.JoinRequest, attempt int) {
+func (d *daemon) askToJoin(ctx context.Context, c *core.Core, v *voter.Voters, req *message.JoinRequest, attempt int) {
 	snap := c.Snapshot()
 	known := slices.Clone(d.seeds())
 	for _, id := range cluster.SortedKeys(snap.Members.Nodes) {
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -9,13 +9,13 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/fake"
 	"catkinrail.example/catkinrail/logs"
-	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
 	"catkinrail.example/catkinrail/state/journal"
-	"catkinrail.example/catkinrail/transport/fake"
 )
 
 // manual is a clock that tests set.
@@ -184,7 +184,7 @@
 	}
 	inFlight := e.submit(old, create("r2", "drawvault", "192.0.2.2:443"))
 	e.run(quorum.DefaultTiming.Election)
-	_, err := old.heartbeat(&control.Heartbeat{ID: 1})
+	_, err := old.heartbeat(&message.Heartbeat{ID: 1})
 	require.ErrorIs(t, err, ErrNotLeader)
 	e.run(2 * time.Second)
 	require.ErrorIs(t, (<-inFlight).Err, ErrUnknown)
@@ -279,14 +279,14 @@
 			if tt.forget {
 				c.changes = nil
 			}
-			r, err := c.heartbeat(&control.Heartbeat{ID: id})
+			r, err := c.heartbeat(&message.Heartbeat{ID: id})
 			require.NoError(t, err)
 			require.Equal(t, tt.snapshot, r.State != nil)
 			if r.State == nil {
 				require.Equal(t, c.state.Version, r.Changes[len(r.Changes)-1].Version)
 				require.Equal(t, uint64(1), r.Changes[0].Version)
 			}
-			r, err = c.heartbeat(&control.Heartbeat{ID: 99})
+			r, err = c.heartbeat(&message.Heartbeat{ID: 99})
 			require.NoError(t, err)
 			require.True(t, r.Unregistered)
 		})
--- a/control/core/document_test.go
+++ b/control/core/document_test.go
@@ -9,10 +9,10 @@
 	"pgregory.net/rapid"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
-	"catkinrail.example/catkinrail/protocol/control"
+	"catkinrail.example/catkinrail/fake"
 	"catkinrail.example/catkinrail/state/cluster"
-	"catkinrail.example/catkinrail/transport/fake"
 )
 
 var noLease = quorum.Timing{Heartbeat: quorum.DefaultTiming.Heartbeat, Election: quorum.DefaultTiming.Election, NoLease: true}
@@ -151,15 +151,15 @@
 }
 
 // join adds an instance with an empty disk under the name and address of place.
-func (e *ensemble) join(id quorum.NodeID, place int) *control.JoinRequest {
+func (e *ensemble) join(id quorum.NodeID, place int) *message.JoinRequest {
 	e.disks[id] = fake.NewDisk()
 	e.n = max(e.n, int(id))
 	e.start(id)
-	return &control.JoinRequest{Node: id, Peer: quorum.Peer{Name: fmt.Sprint("control-", place), Addr: fmt.Sprint("addr-", place)}}
+	return &message.JoinRequest{Node: id, Peer: quorum.Peer{Name: fmt.Sprint("control-", place), Addr: fmt.Sprint("addr-", place)}}
 }
 
 // joined asks the leader until the instance has its vote.
-func (e *ensemble) joined(req *control.JoinRequest) {
+func (e *ensemble) joined(req *message.JoinRequest) {
 	for range 100 {
 		c := e.leader()
 		if c != nil && c.joinStep(req) == nil {
@@ -228,7 +228,7 @@
 	self := quorum.Peer{Name: fmt.Sprint("control-", away), Addr: fmt.Sprint("addr-", away)}
 	e.run(3 * time.Second)
 	require.False(t, e.cores[away].Joined(self), "it hears of no leader")
-	e.joined(&control.JoinRequest{Node: away, Peer: self})
+	e.joined(&message.JoinRequest{Node: away, Peer: self})
 	e.run(time.Second)
 	require.True(t, e.cores[away].Joined(self))
 	require.Equal(t, 4, e.leader().Snapshot().Members.Voters())
@@ -239,7 +239,7 @@
 	e := newEnsembleWith(t, 3, noLease, 0)
 	self := quorum.Peer{Name: "core-2", Addr: "addr-2", Zone: "a", Public: "addr-2:80"}
 	require.False(t, e.cores[2].Joined(self))
-	e.joined(&control.JoinRequest{Node: 2, Peer: self})
+	e.joined(&message.JoinRequest{Node: 2, Peer: self})
 	e.run(200 * time.Millisecond)
 	require.True(t, e.cores[2].Joined(self))
 	require.Equal(t, 3, e.leader().Snapshot().Members.Voters())
--- a/control/core/leader.go
+++ b/control/core/leader.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/quorum"
-	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/burn"
 	"catkinrail.example/catkinrail/state/cluster"
 )
@@ -166,8 +166,8 @@
 
 // Heartbeat takes an entry instance's report, renews its lease and returns what
 // it lacks. The channel is closed at the next change.
-func (c *Core) Heartbeat(ctx context.Context, hb *control.Heartbeat) (*control.HeartbeatReply, <-chan struct{}, error) {
-	var reply *control.HeartbeatReply
+func (c *Core) Heartbeat(ctx context.Context, hb *message.Heartbeat) (*message.HeartbeatReply, <-chan struct{}, error) {
+	var reply *message.HeartbeatReply
 	var changed <-chan struct{}
 	var result error
 	err := c.do(ctx, func() {
@@ -177,7 +177,7 @@
 	return reply, changed, errors.Join(err, result)
 }
 
-func (c *Core) heartbeat(hb *control.Heartbeat) (*control.HeartbeatReply, error) {
+func (c *Core) heartbeat(hb *message.Heartbeat) (*message.HeartbeatReply, error) {
 	now := c.now()
 	if !c.leader.active || !c.node.Leading(now) {
 		return nil, c.leaderError()
@@ -185,7 +185,7 @@
 	if c.cfg.Timing.NoLease {
 		return nil, ErrNoLease
 	}
-	reply := &control.HeartbeatReply{Term: c.node.Term(), Lease: c.cfg.Lease}
+	reply := &message.HeartbeatReply{Term: c.node.Term(), Lease: c.cfg.Lease}
 	if c.state.Instances[hb.ID] == nil {
 		reply.Unregistered = true
 		return reply, nil
@@ -196,7 +196,7 @@
 }
 
 // note keeps what a heartbeat reports.
-func (l *leaderState) note(c *Core, hb *control.Heartbeat, now int64) {
+func (l *leaderState) note(c *Core, hb *message.Heartbeat, now int64) {
 	e := l.members[hb.ID]
 	if e == nil {
 		e = &entryState{current: now}
@@ -252,7 +252,7 @@
 }
 
 // count adds an entry instance's counts to the meters.
-func (l *leaderState) count(c *Core, hb *control.Heartbeat, now int64) {
+func (l *leaderState) count(c *Core, hb *message.Heartbeat, now int64) {
 	for id, n := range hb.Counts {
 		if c.state.Services[id] == nil {
 			continue
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
-	"catkinrail.example/catkinrail/protocol/control"
 )
 
 // ErrWait means that a change of members must be asked for again later.
@@ -17,10 +17,10 @@
 const promoteGap = 16
 
 // Greeting says who this instance is.
-func (c *Core) Greeting(ctx context.Context) (*control.Greeting, error) {
-	g := &control.Greeting{}
+func (c *Core) Greeting(ctx context.Context) (*message.Greeting, error) {
+	g := &message.Greeting{}
 	err := c.do(ctx, func() {
-		*g = control.Greeting{Node: c.node.ID(), Name: c.cfg.Name, LastIndex: c.node.LastIndex()}
+		*g = message.Greeting{Node: c.node.ID(), Name: c.cfg.Name, LastIndex: c.node.LastIndex()}
 	})
 	return g, err
 }
@@ -41,8 +41,8 @@
 // a learner, an earlier member of its name or address is removed, and once it
 // has caught up it gets its vote. The reply names the members, which the
 // instance needs to answer them.
-func (c *Core) Join(ctx context.Context, req *control.JoinRequest) (*control.JoinReply, error) {
-	reply := &control.JoinReply{}
+func (c *Core) Join(ctx context.Context, req *message.JoinRequest) (*message.JoinReply, error) {
+	reply := &message.JoinReply{}
 	var result error
 	err := c.do(ctx, func() {
 		if !c.leader.active {
@@ -57,7 +57,7 @@
 	return reply, errors.Join(err, result)
 }
 
-func (c *Core) joinStep(req *control.JoinRequest) error {
+func (c *Core) joinStep(req *message.JoinRequest) error {
 	m := c.node.Members()
 	if m.Voter(req.Node) && m.Nodes[req.Node] == req.Peer {
 		return nil
@@ -90,7 +90,7 @@
 
 // namesake returns another member of the joining instance's name or address, or
 // zero.
-func namesake(m *quorum.Members, req *control.JoinRequest) quorum.NodeID {
+func namesake(m *quorum.Members, req *message.JoinRequest) quorum.NodeID {
 	for id, p := range m.Nodes {
 		if id != req.Node && (p.Name == req.Peer.Name || p.Addr == req.Peer.Addr) {
 			return id
--- a/control/document/store.go
+++ b/control/document/store.go
@@ -12,6 +12,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/core"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
 	"catkinrail.example/catkinrail/transport/rpc"
@@ -110,7 +111,7 @@
 	if !ok {
 		return 0, errNoLeader
 	}
-	var mark control.ReadMark
+	var mark message.ReadMark
 	err := s.clients.Get(leader.Addr).Call(ctx, "read index", attemptTimeout, func(ctx context.Context, conn drpc.Conn) error {
 		f, err := control.NewDRPCControlClient(conn).ReadIndex(ctx, &control.Frame{})
 		if err != nil {
--- a/control/document/store_test.go
+++ b/control/document/store_test.go
@@ -18,11 +18,11 @@
 	"catkinrail.example/catkinrail/control/gossip"
 	"catkinrail.example/catkinrail/control/voter"
 	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/fake"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/journal"
 	"catkinrail.example/catkinrail/transport/clock"
-	"catkinrail.example/catkinrail/transport/fake"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
 
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -13,6 +13,7 @@
 	"catkinrail.example/catkinrail/control/core"
 	"catkinrail.example/catkinrail/control/follow"
 	"catkinrail.example/catkinrail/control/gossip"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/protocol/api"
@@ -59,7 +60,7 @@
 
 // Join implements control.DRPCControlServer.
 func (s *Server) Join(ctx context.Context, f *control.Frame) (*control.Frame, error) {
-	var req control.JoinRequest
+	var req message.JoinRequest
 	if err := open(ctx, f, &req, rpc.RoleControl); err != nil {
 		return nil, err
 	}
@@ -78,12 +79,12 @@
 		events, id, err = plan.Register(state, &reg)
 		return events, err
 	})
-	return reply(&control.Registered{ID: id}, coded(err))
+	return reply(&message.Registered{ID: id}, coded(err))
 }
 
 // Heartbeat implements control.DRPCControlServer.
 func (s *Server) Heartbeat(ctx context.Context, f *control.Frame) (*control.Frame, error) {
-	var hb control.Heartbeat
+	var hb message.Heartbeat
 	if err := open(ctx, f, &hb, rpc.RoleEntry); err != nil {
 		return nil, err
 	}
@@ -103,7 +104,7 @@
 		return nil, ctx.Err()
 	}
 	// What was reported is noted already.
-	again := control.Heartbeat{ID: hb.ID, Term: hb.Term, Have: hb.Have, Synced: hb.Synced, Busy: hb.Busy}
+	again := message.Heartbeat{ID: hb.ID, Term: hb.Term, Have: hb.Have, Synced: hb.Synced, Busy: hb.Busy}
 	r, _, err = s.core.Heartbeat(ctx, &again)
 	return reply(r, coded(err))
 }
@@ -132,12 +133,12 @@
 		return nil, drpcerr.WithCode(err, uint64(api.Code_FORBIDDEN))
 	}
 	index, err := s.core.ReadIndex(ctx)
-	return reply(&control.ReadMark{Index: index}, coded(err))
+	return reply(&message.ReadMark{Index: index}, coded(err))
 }
 
 // Gossip implements control.DRPCControlServer.
 func (s *Server) Gossip(ctx context.Context, f *control.Frame) (*control.Frame, error) {
-	var g control.Gossip
+	var g message.Gossip
 	if err := open(ctx, f, &g, rpc.RoleControl); err != nil {
 		return nil, err
 	}
@@ -150,7 +151,7 @@
 
 // Follow implements control.DRPCControlServer.
 func (s *Server) Follow(f *control.Frame, stream control.DRPCControl_FollowStream) error {
-	var req control.FollowRequest
+	var req message.FollowRequest
 	if err := open(stream.Context(), f, &req, rpc.RoleEntry); err != nil {
 		return err
 	}
--- a/control/follow/feed.go
+++ b/control/follow/feed.go
@@ -5,7 +5,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/gossip"
-	"catkinrail.example/catkinrail/protocol/control"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/state/cluster"
 )
 
@@ -61,9 +61,9 @@
 	if len(list) == 0 {
 		return nil, changed, nil
 	}
-	u := &control.FollowUpdate{Backends: make([]control.FollowedBackend, len(list))}
+	u := &message.FollowUpdate{Backends: make([]message.FollowedBackend, len(list))}
 	for i := range list {
-		u.Backends[i] = control.FollowedBackend{Incarnation: list[i].Incarnation, Silent: list[i].Silent}
+		u.Backends[i] = message.FollowedBackend{Incarnation: list[i].Incarnation, Silent: list[i].Silent}
 	}
 	body, err := cluster.EncodePacked(u)
 	if err != nil {
@@ -98,7 +98,7 @@
 	}
 	bare := *d
 	bare.Source = nil
-	body, err := cluster.EncodePacked(&control.FollowUpdate{Document: &bare})
+	body, err := cluster.EncodePacked(&message.FollowUpdate{Document: &bare})
 	if err != nil {
 		return nil, err
 	}
--- a/control/follow/feed_test.go
+++ b/control/follow/feed_test.go
@@ -10,9 +10,9 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/gossip"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/logs"
-	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
 	"catkinrail.example/catkinrail/transport/clock"
 )
@@ -28,8 +28,8 @@
 	}
 }
 
-func decode(t require.TestingT, body []byte) *control.FollowUpdate {
-	var u control.FollowUpdate
+func decode(t require.TestingT, body []byte) *message.FollowUpdate {
+	var u message.FollowUpdate
 	require.NoError(t, cluster.DecodePacked(body, &u))
 	return &u
 }
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -9,9 +9,9 @@
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/core"
 	"catkinrail.example/catkinrail/control/gossip"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
-	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
 )
 
@@ -53,7 +53,7 @@
 }
 
 // Serve sends updates until ctx ends or send fails.
-func (s *Server) Serve(ctx context.Context, req *control.FollowRequest, send func(body []byte) error) error {
+func (s *Server) Serve(ctx context.Context, req *message.FollowRequest, send func(body []byte) error) error {
 	s.log.Info().Str("entry", req.Name).Str("zone", string(req.Zone)).Uint64("document", req.Document).Msg("entry instance follows")
 	x := &stream{Server: s, send: send, document: req.Document}
 	beat := time.NewTicker(keepAlive)
@@ -152,7 +152,7 @@
 
 // tellState sends the sender's own state.
 func (x *stream) tellState(snap *core.Snapshot) error {
-	u := &control.FollowUpdate{Current: x.current, Complete: x.complete, State: true}
+	u := &message.FollowUpdate{Current: x.current, Complete: x.complete, State: true}
 	if snap.Members != x.members {
 		x.members = snap.Members
 		for _, id := range cluster.SortedKeys(snap.Members.Nodes) {
--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -11,9 +11,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
-	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/directory"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
@@ -137,12 +137,12 @@
 }
 
 // Gossip takes what another control instance tells.
-func (d *Directory) Gossip(g *control.Gossip) *control.GossipReply {
+func (d *Directory) Gossip(g *message.Gossip) *message.GossipReply {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
 	d.merge(g.Changed, "gossip", now)
-	r := &control.GossipReply{}
+	r := &message.GossipReply{}
 	for _, p := range g.Pulses {
 		if !d.dir.Pulse(p.Name, p.Born, p.Sequence, now) {
 			r.Differs = true
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -9,9 +9,9 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/fake"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/state/directory"
-	"catkinrail.example/catkinrail/transport/fake"
 )
 
 const silentAfter = 3 * time.Second
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -7,6 +7,7 @@
 	"storj.io/drpc"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
@@ -124,18 +125,18 @@
 
 // compose returns what the peer hasn't heard, or nil, and the revision that it
 // has heard after that.
-func (d *Directory) compose(p *peer) (*control.Gossip, uint64, <-chan struct{}) {
+func (d *Directory) compose(p *peer) (*message.Gossip, uint64, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	g := &control.Gossip{}
+	g := &message.Gossip{}
 	if p.full {
 		g.Full, g.Changed = true, d.dir.All(now)
 	} else {
 		changed, renewed := d.dir.Heard(p.sent, now)
 		g.Changed = changed
 		for i := range renewed {
-			g.Pulses = append(g.Pulses, control.Pulse{Name: renewed[i].Name, Born: renewed[i].Born, Sequence: renewed[i].Sequence})
+			g.Pulses = append(g.Pulses, message.Pulse{Name: renewed[i].Name, Born: renewed[i].Born, Sequence: renewed[i].Sequence})
 		}
 	}
 	if now-p.compared > int64(digestInterval) {
@@ -148,12 +149,12 @@
 	return g, d.dir.Revision(), d.changed
 }
 
-func (d *Directory) call(ctx context.Context, client *rpc.Client, p *peer, g *control.Gossip) error {
+func (d *Directory) call(ctx context.Context, client *rpc.Client, p *peer, g *message.Gossip) error {
 	body, err := cluster.EncodePacked(g)
 	if err != nil {
 		return catkinrail.At(err, "gossip", p.addr)
 	}
-	var reply control.GossipReply
+	var reply message.GossipReply
 	err = client.Call(ctx, "gossip", callTimeout, func(ctx context.Context, conn drpc.Conn) error {
 		f, err := control.NewDRPCControlClient(conn).Gossip(ctx, &control.Frame{Body: body})
 		if err != nil {
@@ -169,7 +170,7 @@
 }
 
 // take learns from the answer to a message.
-func (d *Directory) take(p *peer, g *control.Gossip, reply *control.GossipReply) {
+func (d *Directory) take(p *peer, g *message.Gossip, reply *message.GossipReply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.merge(reply.All, p.addr, d.now())
--- a/control/voter/voter.go
+++ b/control/voter/voter.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/protocol/control"
@@ -142,10 +143,10 @@
 }
 
 // Hello asks the control instance at addr who it is.
-func Hello(ctx context.Context, addr string, creds *rpc.Credentials) (*control.Greeting, error) {
+func Hello(ctx context.Context, addr string, creds *rpc.Credentials) (*message.Greeting, error) {
 	c := rpc.NewClient(addr, creds)
 	defer c.Close()
-	g := &control.Greeting{}
+	g := &message.Greeting{}
 	err := c.Call(ctx, "hello", stepTimeout, func(ctx context.Context, conn drpc.Conn) error {
 		f, err := control.NewDRPCControlClient(conn).Hello(ctx, &control.Frame{})
 		if err != nil {
@@ -158,12 +159,12 @@
 
 // Join asks the control instance at addr to take in a new member, and learns how
 // to reach the others. It reports whether there is nothing left to ask for.
-func (v *Voters) Join(ctx context.Context, addr string, req *control.JoinRequest) (done bool, err error) {
+func (v *Voters) Join(ctx context.Context, addr string, req *message.JoinRequest) (done bool, err error) {
 	body, err := cluster.Encode(req)
 	if err != nil {
 		return false, err
 	}
-	var reply control.JoinReply
+	var reply message.JoinReply
 	c := rpc.NewClient(addr, v.creds)
 	defer c.Close()
 	err = c.Call(ctx, "join", stepTimeout, func(ctx context.Context, conn drpc.Conn) error {
--- a/control/voter/voter_test.go
+++ b/control/voter/voter_test.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
 
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/protocol/control"
@@ -27,7 +28,7 @@
 
 // Join implements control.DRPCControlServer.
 func (l *leader) Join(context.Context, *control.Frame) (*control.Frame, error) {
-	body, err := cluster.Encode(&control.JoinReply{Wait: true, Members: l.members})
+	body, err := cluster.Encode(&message.JoinReply{Wait: true, Members: l.members})
 	return &control.Frame{Body: body}, err
 }
 
@@ -65,7 +66,7 @@
 	v.Send(answer, none)
 	require.Empty(t, v.senders, "nobody knows where the leader is")
 
-	done, err := v.Join(ctx, addr, &control.JoinRequest{Node: 9, Peer: quorum.Peer{Name: "new"}})
+	done, err := v.Join(ctx, addr, &message.JoinRequest{Node: 9, Peer: quorum.Peer{Name: "new"}})
 	require.NoError(t, err)
 	require.False(t, done)
 	v.Send(answer, none)
--- a/protocol/control/messages.go
+++ b/coordination/message/message.go
@@ -1,6 +1,7 @@
-// Package control defines what control instances tell each other and what entry
-// instances tell them.
-package control
+// Package message defines what control instances tell each other and what entry
+// instances and they tell one another. Each is the body of a frame of
+// protocol/control.
+package message
 
 import (
 	"time"
--- a/coordination/quorum/quorum_test.go
+++ b/coordination/quorum/quorum_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/fake"
 	"catkinrail.example/catkinrail/state/journal"
-	"catkinrail.example/catkinrail/transport/fake"
 )
 
 // member is a node with its disk.
--- a/coordination/route/planned_test.go
+++ b/coordination/route/planned_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/transport/fake"
+	"catkinrail.example/catkinrail/fake"
 )
 
 var zones = []catkinrail.Zone{"kochi", "alappuzha", "kollam", "ponnani"}
--- a/coordination/route/property_test.go
+++ b/coordination/route/property_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/transport/fake"
+	"catkinrail.example/catkinrail/fake"
 )
 
 // schedule draws a run: a net, and planned and unplanned events at random times.
--- a/coordination/route/unplanned_test.go
+++ b/coordination/route/unplanned_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/transport/fake"
+	"catkinrail.example/catkinrail/fake"
 )
 
 // TestUnplannedFaults brings about a fault while a backend server drains and
--- a/coordination/route/zonecut_test.go
+++ b/coordination/route/zonecut_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/transport/fake"
+	"catkinrail.example/catkinrail/fake"
 )
 
 // cutZone runs a cut of the first zone from 10 s to 20 s. Callers on both sides
--- a/emulator/experiment/run.go
+++ b/emulator/experiment/run.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/transport/fake"
+	"catkinrail.example/catkinrail/fake"
 )
 
 // Result is what one run gave.
--- a/emulator/experiment/scenario.go
+++ b/emulator/experiment/scenario.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/transport/fake"
+	"catkinrail.example/catkinrail/fake"
 )
 
 // Timing of a run.
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcerr"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/route"
 	"catkinrail.example/catkinrail/entry/backend"
@@ -141,7 +142,7 @@
 }
 
 func (c *Client) register(ctx context.Context) error {
-	var out control.Registered
+	var out message.Registered
 	err := c.call(ctx, "register", callTimeout, &c.cfg.Registration, &out,
 		func(ctx context.Context, cc control.DRPCControlClient, f *control.Frame) (*control.Frame, error) {
 			return cc.Register(ctx, f)
@@ -174,7 +175,7 @@
 func (c *Client) heartbeat(ctx context.Context) error {
 	e := c.cfg.Engine
 	sent := c.cfg.Clock.Nanos()
-	hb := control.Heartbeat{
+	hb := message.Heartbeat{
 		ID: e.Self(), Term: c.term, Have: e.Version(), Synced: e.Synced(), Busy: e.Busy(sent),
 		Announcements: c.cfg.Registry.Due(), Exceptions: e.Exceptions(),
 		Leaving: c.leaving.Load(), Left: c.left.Load(), Counts: c.cfg.Stats.TakeCounts(), Wait: true,
@@ -183,7 +184,7 @@
 	if hb.Have == 0 {
 		timeout = snapshotTimeout
 	}
-	var r control.HeartbeatReply
+	var r message.HeartbeatReply
 	err := c.call(ctx, "heartbeat", timeout, &hb, &r,
 		func(ctx context.Context, cc control.DRPCControlClient, f *control.Frame) (*control.Frame, error) {
 			return cc.Heartbeat(ctx, f)
@@ -198,7 +199,7 @@
 
 // take brings the answer into force. An answer of an earlier term than one that
 // was seen comes from a leader that was replaced, and is ignored.
-func (c *Client) take(r *control.HeartbeatReply, sent int64) error {
+func (c *Client) take(r *message.HeartbeatReply, sent int64) error {
 	e := c.cfg.Engine
 	if r.Term < c.term {
 		return nil
--- a/entry/fabric/stats.go
+++ b/entry/fabric/stats.go
@@ -9,8 +9,8 @@
 	"github.com/rcrowley/go-metrics"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/route"
-	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/protocol/ip"
 )
 
@@ -25,7 +25,7 @@
 	last atomic.Int64
 
 	mu     sync.Mutex
-	counts map[catkinrail.ServiceID]control.FlowCounts
+	counts map[catkinrail.ServiceID]message.FlowCounts
 }
 
 // NewStats returns counters that are registered with reg.
@@ -36,7 +36,7 @@
 		relayed: counter("packets-relayed"), refused: counter("packets-refused"),
 		lost: counter("packets-send-failed"), retried: counter("batches-decided-again"),
 		relayErrors: counter("relay-messages-bad"),
-		counts:      map[catkinrail.ServiceID]control.FlowCounts{},
+		counts:      map[catkinrail.ServiceID]message.FlowCounts{},
 	}
 	for _, r := range route.Reasons() {
 		s.reasons = append(s.reasons, counter("packets-dropped-"+r.String()))
@@ -53,16 +53,16 @@
 }
 
 // TakeCounts returns what was counted for each service since the last call.
-func (s *Stats) TakeCounts() map[catkinrail.ServiceID]control.FlowCounts {
+func (s *Stats) TakeCounts() map[catkinrail.ServiceID]message.FlowCounts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	taken := s.counts
-	s.counts = map[catkinrail.ServiceID]control.FlowCounts{}
+	s.counts = map[catkinrail.ServiceID]message.FlowCounts{}
 	return taken
 }
 
 // Restore adds counts back that could not be delivered.
-func (s *Stats) Restore(counts map[catkinrail.ServiceID]control.FlowCounts) {
+func (s *Stats) Restore(counts map[catkinrail.ServiceID]message.FlowCounts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, n := range counts {
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/entry/packet"
@@ -207,7 +208,7 @@
 	return cl.Call(ctx, "follow", streamTimeout, func(ctx context.Context, conn drpc.Conn) error {
 		var have uint64
 		s.client.router.Do(func(e *token.Engine, _ int64) { have = e.Version() })
-		body, err := cluster.Encode(&control.FollowRequest{Name: s.client.name, Zone: s.client.zone, Document: have})
+		body, err := cluster.Encode(&message.FollowRequest{Name: s.client.name, Zone: s.client.zone, Document: have})
 		if err != nil {
 			return err
 		}
@@ -221,7 +222,7 @@
 				return err
 			}
 			silent.Reset(silentAfter)
-			var u control.FollowUpdate
+			var u message.FollowUpdate
 			if err := cluster.DecodePacked(f.GetBody(), &u); err != nil {
 				return err
 			}
@@ -254,7 +255,7 @@
 }
 
 // take hands an update to the engine.
-func (s *session) take(u *control.FollowUpdate) {
+func (s *session) take(u *message.FollowUpdate) {
 	c := s.client
 	if u.State {
 		s.updates++
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcmux"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/entry/packet"
@@ -88,7 +89,7 @@
 // standIn is a control instance that sends prepared updates and then waits.
 type standIn struct {
 	control.DRPCControlUnimplementedServer
-	updates []*control.FollowUpdate
+	updates []*message.FollowUpdate
 
 	mu    sync.Mutex
 	calls int
@@ -159,7 +160,7 @@
 }
 
 func TestReadyOnceControlIsCurrent(t *testing.T) {
-	s := &standIn{updates: []*control.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
+	s := &standIn{updates: []*message.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
 	c, r := newClient("a", serve(t, s))
 	require.False(t, c.Ready())
 	follow(t, c, c.Ready)
@@ -170,7 +171,7 @@
 // knows the document before it knows the backend servers, and an entry instance
 // that took its word would refuse flows.
 func TestNotReadyOnAnIncompleteDirectory(t *testing.T) {
-	s := &standIn{updates: []*control.FollowUpdate{
+	s := &standIn{updates: []*message.FollowUpdate{
 		{Document: document(5), Current: true}, {Current: true}, {State: true, Current: true, Complete: true},
 	}}
 	c, r := newClient("a", serve(t, s))
@@ -186,17 +187,17 @@
 // TestLeavesAnInstanceThatIsNotCurrent has one that is out of touch with its
 // leader and one that has the document.
 func TestLeavesAnInstanceThatIsNotCurrent(t *testing.T) {
-	old := &standIn{updates: []*control.FollowUpdate{{State: true}, {State: true}}}
-	current := &standIn{updates: []*control.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
+	old := &standIn{updates: []*message.FollowUpdate{{State: true}, {State: true}}}
+	current := &standIn{updates: []*message.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
 	c, r := newClient("a", serve(t, old), serve(t, current))
 	follow(t, c, c.Ready)
 	require.Equal(t, uint64(5), version(r))
 }
 
 func TestMovesToItsOwnZone(t *testing.T) {
-	own := &standIn{updates: []*control.FollowUpdate{{Document: document(6), State: true, Current: true, Complete: true}}}
+	own := &standIn{updates: []*message.FollowUpdate{{Document: document(6), State: true, Current: true, Complete: true}}}
 	ownAddr := serve(t, own)
-	other := &standIn{updates: []*control.FollowUpdate{{
+	other := &standIn{updates: []*message.FollowUpdate{{
 		Document: document(5), State: true, Current: true, Complete: true, Peers: []quorum.Peer{{Addr: ownAddr, Zone: "a"}},
 	}}}
 	c, r := newClient("a", serve(t, other))
@@ -209,7 +210,7 @@
 	require.NoError(t, err)
 	gone := l.Addr().String()
 	require.NoError(t, l.Close())
-	s := &standIn{updates: []*control.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
+	s := &standIn{updates: []*message.FollowUpdate{{Document: document(5), State: true, Current: true, Complete: true}}}
 	c, _ := newClient("a", gone, serve(t, s), gone)
 	follow(t, c, c.Ready)
 }
@@ -225,11 +226,11 @@
 		r.Listen = netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
 		d.Routes = append(d.Routes, r)
 	}
-	body, err := cluster.EncodePacked(&control.FollowUpdate{Document: d})
+	body, err := cluster.EncodePacked(&message.FollowUpdate{Document: d})
 	require.NoError(t, err)
 	const bound = 1_400_000 / 8 * 350 / 1000
 	require.Less(t, len(body), bound)
-	var u control.FollowUpdate
+	var u message.FollowUpdate
 	require.NoError(t, cluster.DecodePacked(body, &u))
 	require.Equal(t, d, u.Document)
 }
--- a/state/journal/fuzz_test.go
+++ b/state/journal/fuzz_test.go
@@ -6,8 +6,8 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/fake"
 	"catkinrail.example/catkinrail/state/journal"
-	"catkinrail.example/catkinrail/transport/fake"
 )
 
 // FuzzOpen opens folders with an arbitrary segment. Opening must fail clearly or
--- a/state/journal/journal_test.go
+++ b/state/journal/journal_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 
 	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/fake"
 	"catkinrail.example/catkinrail/state/journal"
-	"catkinrail.example/catkinrail/transport/fake"
 )
 
 func entries(from, to, term uint64) []quorum.Entry {
