--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,11 @@
 prove: build ## Run the fault matrix, real processes included.
 	./scripts/prove.sh
 
+SEED ?= 1
+.PHONY: soak
+soak: build ## Run the programs under random faults for 20 s; SEED=n chooses them.
+	./scripts/soak.sh $(SEED)
+
 .PHONY: capacity
 capacity: build ## Work the capacity table out from the measured slopes.
 	./bin/catkinrail-emulator capacity
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -7,36 +7,11 @@
 mkdir -p "$out"
 out=$(cd "$out" && pwd)
 rm -rf "${out:?}"/*
-# shellcheck source=scripts/lib.sh
-. "$(dirname "$0")/lib.sh"
+# shellcheck source=scripts/platform-lib.sh
+. "$(dirname "$0")/platform-lib.sh"
 trap stop_all EXIT
-seeds=(--seed 127.1.1.100 --seed 127.1.2.100 --seed 127.1.3.100)
-zone_names=(a b c)
-
-node() { # NAME ZONE-NUMBER IP [FLAG...]
-	local name=$1 zone=${zone_names[$2 - 1]} ip=$3
-	shift 3
-	"$bin/catkinrail-emulator" platform-node --name "$name" --zone "$zone" --ip "$ip" "${seeds[@]}" "$@" >"$out/$name.yaml"
-}
-
-start_on_platform() { # NAME PROGRAM
-	start "$1" env CATKINRAIL_NODE_FILE="$out/$1.yaml" "$bin/$2" --platform
-}
-
-for z in 1 2 3; do
-	node "core-$z" $z "127.1.$z.100" --data "$out/data-$z" --first
-	start_on_platform "core-$z" catkinrail-control
-	for n in 1 2; do
-		node "front-$z-$n" $z "127.1.$z.$n"
-		start_on_platform "front-$z-$n" catkinrail-entry
-	done
-done
-
-load=()
-for z in 1 2 3; do
-	load+=(--control "127.1.$z.100" --entry "127.1.$z.1" --entry "127.1.$z.2")
-done
-start platform-run "$bin/catkinrail-emulator" platform-run --duration 12s "${load[@]}"
+start_platform
+start_platform_run --duration 12s
 run=${pid_of[platform-run]}
 
 sleep 4
@@ -49,7 +24,7 @@
 	echo "loss: core-$z killed and started again"
 	signal "core-$z" KILL
 	sleep 0.3
-	start_on_platform "core-$z" catkinrail-control
+	start_on_platform "core-$z"
 	sleep 1.2
 done
 wait "$run"
--- /dev/null
+++ b/scripts/platform-lib.sh
@@ -0,0 +1,44 @@
+# Functions shared by the scripts that run the system as on the users' platform,
+# on loopback addresses.
+
+# shellcheck source=scripts/lib.sh
+. "$(dirname "${BASH_SOURCE[0]}")/lib.sh"
+# net is the second number of all addresses, so that several runs fit beside each
+# other.
+net=${net:-1}
+seeds=(--seed "127.$net.1.100" --seed "127.$net.2.100" --seed "127.$net.3.100")
+zone_names=(a b c)
+
+node() { # NAME ZONE-NUMBER IP [FLAG...]
+	local name=$1 zone=${zone_names[$2 - 1]} ip=$3
+	shift 3
+	"$bin/catkinrail-emulator" platform-node --name "$name" --zone "$zone" --ip "$ip" "${seeds[@]}" "$@" >"$out/$name.yaml"
+}
+
+start_on_platform() { # NAME
+	local program=catkinrail-entry
+	case $1 in core-*) program=catkinrail-control ;; esac
+	start "$1" env CATKINRAIL_NODE_FILE="$out/$1.yaml" "$bin/$program" --platform
+}
+
+# start_platform: three zones of a control instance and two entry instances.
+start_platform() {
+	local z n
+	for z in 1 2 3; do
+		node "core-$z" "$z" "127.$net.$z.100" --data "$out/data-$z" --first
+		start_on_platform "core-$z"
+		for n in 1 2; do
+			node "front-$z-$n" "$z" "127.$net.$z.$n"
+			start_on_platform "front-$z-$n"
+		done
+	done
+}
+
+# start_platform_run FLAG...: callers, backend servers and an operator.
+start_platform_run() {
+	local z args=()
+	for z in 1 2 3; do
+		args+=(--control "127.$net.$z.100" --entry "127.$net.$z.1" --entry "127.$net.$z.2")
+	done
+	start platform-run "$bin/catkinrail-emulator" platform-run --net "$net" "$@" "${args[@]}"
+}
