token, control: refuse only on current knowledge; let the leader tell its addresses

Since frames are shared, the two come one after the other. Now it refuses only after a word of a control instance that is current and has told all; until then the packet is dropped and the caller's copy finds the rest. Tests fail without it. Cause 2, seen in catkinctl status: the leader asked itself over the network, which it skips, so nobody knew its zone, and entry instances and backend servers of its zone used others.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -234,6 +234,12 @@
 // other.
 func (d *daemon) askToJoin(ctx context.Context, c *core.Core, v *voter.Voters, req *message.JoinRequest, attempt int) {
 	snap := c.Snapshot()
+	if snap.Leader == snap.Node {
+		if _, err := c.Join(ctx, req); err != nil {
+			d.log.Debug().Err(err).Msg("own addresses not told yet")
+		}
+		return
+	}
 	known := slices.Clone(d.seeds())
 	for _, id := range cluster.SortedKeys(snap.Members.Nodes) {
 		if addr := snap.Members.Nodes[id].Addr; !slices.Contains(known, addr) {
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -47,8 +47,8 @@
 	ReasonToken
 	// ReasonNoRoute is an endpoint that the document doesn't have.
 	ReasonNoRoute
-	// ReasonStale is an endpoint that the document doesn't have, while the
-	// document may not be the newest.
+	// ReasonStale is an endpoint or a backend server that isn't known, while what
+	// is known may not be the newest.
 	ReasonStale
 	// ReasonNoBackend is a service without a backend server that takes new flows.
 	ReasonNoBackend
@@ -180,7 +180,8 @@
 	tokens   map[catkinrail.Token]*Backend
 	services map[string][]*Backend
 	flows    map[catkinrail.FlowKey]*flow
-	// heard is the time of the last update of a current control instance.
+	// heard is the time of the last update of a control instance that is current
+	// and has told all that it knows.
 	heard      int64
 	candidates []place.Candidate
 	// handshakes are the flows that may wait for their handshake, in order.
@@ -236,23 +237,28 @@
 	listen := netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)
 	r := e.routes[listen]
 	if r == nil {
-		if now-e.heard > int64(currentSpan) {
-			return Verdict{Action: Drop, Reason: ReasonStale}
-		}
-		return Verdict{Action: Refuse, Reason: ReasonNoRoute}
+		return e.refuse(p, ReasonNoRoute, now)
 	}
 	b := e.place(r.Pick(e.rng.Uint64()), nil, now)
 	if b == nil {
-		if p.Copy > 0 {
-			// Another instance may have passed the first one on.
-			return Verdict{Action: Drop, Reason: ReasonNoBackend}
-		}
-		return Verdict{Action: Refuse, Reason: ReasonNoBackend}
+		return e.refuse(p, ReasonNoBackend, now)
 	}
 	e.remember(p, b, now)
 	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b}
 }
 
+// refuse turns a new flow away at once if that is certainly right: if what this
+// instance knows is current, and no instance can have passed the flow on.
+func (e *Engine) refuse(p *catkinrail.TokenPacket, reason Reason, now int64) Verdict {
+	if e.Age(now) > currentSpan {
+		return Verdict{Action: Drop, Reason: ReasonStale}
+	}
+	if p.Copy > 0 {
+		return Verdict{Action: Drop, Reason: reason}
+	}
+	return Verdict{Action: Refuse, Reason: reason}
+}
+
 // again decides about a copy of an opening packet.
 func (e *Engine) again(p *catkinrail.TokenPacket, f *flow, now int64) Verdict {
 	f.seen = now
--- a/coordination/token/engine_test.go
+++ b/coordination/token/engine_test.go
@@ -84,6 +84,17 @@
 			&catkinrail.TokenPacket{Opening: true}, 2000 * ms, token.Drop, token.ReasonStale,
 		},
 		{"no backend server is refused at once", func() *token.Engine { return newEngine(gone, leaving) }, opening(1, 0), 0, token.Refuse, token.ReasonNoBackend},
+		{
+			"no backend server in a directory that may be old", func() *token.Engine { return newEngine(leaving) }, opening(1, 0), 2000 * ms,
+			token.Drop, token.ReasonStale,
+		},
+		{
+			"no backend server before the first word of control", func() *token.Engine {
+				e := token.New("a", 1)
+				e.SetDocument(document(1))
+				return e
+			}, opening(1, 0), int64(time.Hour), token.Drop, token.ReasonStale,
+		},
 		{
 			"a copy is not refused: the first may have been passed on", func() *token.Engine { return newEngine(leaving) },
 			opening(1, 1), 0, token.Drop, token.ReasonNoBackend,
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -37,7 +37,8 @@
 	return e.document.Version
 }
 
-// Heard notes an update of a control instance that is in touch with its leader.
+// Heard notes an update of a control instance that is in touch with its leader
+// and has told all that it knows.
 func (e *Engine) Heard(now int64) {
 	e.heard = now
 }
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -277,7 +277,7 @@
 			newer = e.SetDocument(u.Document)
 		}
 		version = e.Version()
-		if u.Current {
+		if u.Current && u.Complete {
 			e.Heard(now)
 		}
 	})
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -178,9 +178,11 @@
 	x := &session{client: c, addr: "control-1"}
 	for i, u := range s.updates {
 		require.False(t, c.Ready(), i)
+		r.Do(func(e *token.Engine, now int64) { require.Greater(t, e.Age(now), time.Hour, "nothing may be refused") })
 		x.take(u)
 	}
 	require.True(t, c.Ready())
+	r.Do(func(e *token.Engine, now int64) { require.Less(t, e.Age(now), time.Hour) })
 	require.Equal(t, uint64(5), version(r))
 }
 
