gossip: let a drain that only the disk kept reach the others at once

Sequences were saved as zero, so after the restart neither side's report was newer, and renewals of the drained report bumped the others' sequence without its state; until a comparison met a newer sequence 4.6 s later. Change: sequences are saved; a renewal says whether the server drains, and one that doesn't fit what is known asks for the whole report; of two reports with one sequence the draining one counts.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -144,7 +144,7 @@
 	d.merge(g.Changed, "gossip", now)
 	r := &message.GossipReply{}
 	for _, p := range g.Pulses {
-		if !d.dir.Pulse(p.Name, p.Born, p.Sequence, now) {
+		if !d.dir.Pulse(p.Name, p.Born, p.Sequence, p.Draining, now) {
 			r.Differs = true
 		}
 	}
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -171,6 +171,69 @@
 	require.True(t, view(t, p.a, "s1").Silent)
 }
 
+// TestDrainSurvivesARestart kills an instance right after it has acknowledged and
+// saved that a backend server drains, before anyone else heard of it. What it
+// passes on after its restart, renewals among it, must tell the others.
+func TestDrainSurvivesARestart(t *testing.T) {
+	tests := []struct {
+		name string
+		// later is the number of reports that the restarted instance takes before
+		// it reaches its peer, and whether the peer takes one meanwhile.
+		later int
+		other bool
+		// both is set if the peer restarts too, from what it had saved.
+		both bool
+	}{
+		{"before the next report", 0, false, false},
+		{"after the next report", 1, false, false},
+		{"after many reports", 9, false, false},
+		{"after a report elsewhere", 1, true, false},
+		{"with the peer, before the next report", 0, false, true},
+		{"with the peer, after many reports", 9, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPair(t)
+			disk := fake.NewDisk()
+			p.a.cfg.Dir = disk
+			peerDisk := fake.NewDisk()
+			p.b.cfg.Dir = peerDisk
+			leaving := incarnation("s1", "a", 5)
+			p.a.Report(leaving)
+			p.exchange()
+			leaving.Sequence, leaving.Draining = 6, true
+			p.a.Report(leaving)
+			_, err := p.a.write(nil)
+			require.NoError(t, err)
+
+			if tt.both {
+				_, err := p.b.write(nil)
+				require.NoError(t, err)
+				p.b = newDirectory(p.clock, "b", peerDisk)
+			}
+			p.a = newDirectory(p.clock, "a", disk)
+			p.link = &peer{addr: "b", zone: "b", full: true, member: true}
+			p.a.peers["b"] = p.link
+			for range tt.later {
+				leaving.Sequence++
+				p.a.Report(leaving)
+			}
+			if tt.other {
+				late := *leaving
+				late.Draining = false
+				late.Sequence--
+				p.b.Report(&late)
+			}
+			for range 1 + maxDiffers {
+				p.exchange()
+				leaving.Sequence++
+				p.a.Report(leaving)
+			}
+			require.True(t, view(t, p.b, "s1").Draining)
+		})
+	}
+}
+
 func TestBackendsAreSentToTheirZone(t *testing.T) {
 	tests := []struct {
 		name, zone string
@@ -207,8 +270,9 @@
 	d = newDirectory(clock, "a", disk)
 	require.False(t, view(t, d, "s1").Gone)
 	require.True(t, view(t, d, "s2").Gone)
-	d.Report(incarnation("s1", "a", 1))
-	require.Equal(t, uint64(1), view(t, d, "s1").Sequence, "any report is newer than what was saved")
+	require.Equal(t, uint64(7), view(t, d, "s1").Sequence)
+	d.Report(incarnation("s1", "a", 8))
+	require.Equal(t, uint64(8), view(t, d, "s1").Sequence)
 
 	// A directory that can't be read is left out.
 	disk.Corrupt(directoryFile, 20)
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -136,7 +136,8 @@
 		changed, renewed := d.dir.Heard(p.sent, now)
 		g.Changed = changed
 		for i := range renewed {
-			g.Pulses = append(g.Pulses, message.Pulse{Name: renewed[i].Name, Born: renewed[i].Born, Sequence: renewed[i].Sequence})
+			r := &renewed[i]
+			g.Pulses = append(g.Pulses, message.Pulse{Name: r.Name, Born: r.Born, Sequence: r.Sequence, Draining: r.Draining})
 		}
 	}
 	if now-p.compared > int64(digestInterval) {
--- a/control/gossip/save.go
+++ b/control/gossip/save.go
@@ -72,18 +72,20 @@
 	return nil
 }
 
-// write writes the directory unless it is the one that was saved last, and
-// returns its encoding.
+// write writes the directory unless only sequences have changed since it was saved,
+// and returns what tells so. Sequences are kept, since they order what a restarted
+// instance passes on.
 func (d *Directory) write(saved []byte) ([]byte, error) {
 	d.mu.Lock()
 	list := d.dir.All(0)
 	d.mu.Unlock()
 	slices.SortFunc(list, func(a, b catkinrail.Incarnation) int { return cmp.Compare(a.Name, b.Name) })
+	state := slices.Clone(list)
 	for i := range list {
-		// Renewals alone call for no write.
-		list[i].Sequence, list[i].Warmup = 0, 0
+		list[i].Warmup = 0
+		state[i].Sequence, state[i].Warmup = 0, 0
 	}
-	body, err := cluster.Encode(list)
+	body, err := cluster.Encode(state)
 	if err != nil || bytes.Equal(body, saved) {
 		return body, err
 	}
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -94,6 +94,7 @@
 	Name     string `cbor:"1,keyasint"`
 	Born     int64  `cbor:"2,keyasint"`
 	Sequence uint64 `cbor:"3,keyasint"`
+	Draining bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // Gossip is what a control instance tells another about backend servers.
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -108,7 +108,10 @@
 	if a.Gone != b.Gone {
 		return a.Gone
 	}
-	return a.Sequence > b.Sequence
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	return a.Draining && !b.Draining
 }
 
 // Report takes a report, from the backend server itself if local is set.
@@ -190,9 +193,9 @@
 	return Changed
 }
 
-// Pulse takes a renewal that another instance passes on. It returns false if the
-// incarnation isn't known here.
-func (d *Directory) Pulse(name string, born int64, sequence uint64, now int64) bool {
+// Pulse takes a renewal that another instance passes on. It returns false if it
+// doesn't renew what is known here, so that the whole report must be told.
+func (d *Directory) Pulse(name string, born int64, sequence uint64, draining bool, now int64) bool {
 	e := d.entries[name]
 	if e == nil || e.inc.Born < born {
 		return false
@@ -200,6 +203,9 @@
 	if e.inc.Born != born || e.inc.Gone || e.inc.Sequence >= sequence {
 		return true
 	}
+	if e.inc.Draining != draining {
+		return false
+	}
 	e.inc.Sequence = sequence
 	e.heard = now
 	if e.silent {
--- a/state/directory/directory_test.go
+++ b/state/directory/directory_test.go
@@ -98,10 +98,11 @@
 	require.True(t, d.Since(0, 0)[0].Silent)
 	require.Empty(t, d.Tick(second+int64(silentAfter)+2))
 
-	require.True(t, d.Pulse("a", 100, 2, 10*second))
+	require.True(t, d.Pulse("a", 100, 2, false, 10*second))
 	require.False(t, d.Since(0, 0)[0].Silent)
-	require.False(t, d.Pulse("b", 100, 2, 10*second))
-	require.False(t, d.Pulse("a", 200, 1, 10*second), "a later life must be fetched")
+	require.False(t, d.Pulse("b", 100, 2, false, 10*second))
+	require.False(t, d.Pulse("a", 200, 1, false, 10*second), "a later life must be fetched")
+	require.False(t, d.Pulse("a", 100, 3, true, 10*second), "a change of state must be fetched")
 
 	// A process that was held up for a minute heard nobody meanwhile.
 	d.Shift(60 * second)
