--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -199,12 +199,13 @@
 	c.Start(ctx, g)
 	g.Go(func() error { return rpc.Serve(ctx, l, mux) })
 	g.Go(func() error { return d.join(ctx, c, voters) })
+	reg := metrics.NewRegistry()
 	if d.cfg.Metrics != "" {
-		g.Go(func() error { return d.serveMetrics(ctx, c) })
+		g.Go(func() error { return d.serveMetrics(ctx, c, reg) })
 	}
 	if d.cfg.Public != "" {
 		dir.Start(ctx)
-		store := document.New(c, rpc.NewPool(d.creds))
+		store := document.New(c, rpc.NewPool(d.creds), clk, reg)
 		h := platform.ControlHandler(dir, store, clk, d.log)
 		g.Go(func() error { return metricspage.ServeHTTP(ctx, d.cfg.Public, h) })
 	}
@@ -260,8 +261,7 @@
 
 // serveMetrics serves metrics and health. The instance is ready while it knows a
 // leader.
-func (d *daemon) serveMetrics(ctx context.Context, c *core.Core) error {
-	reg := metrics.NewRegistry()
+func (d *daemon) serveMetrics(ctx context.Context, c *core.Core, reg metrics.Registry) error {
 	version := metrics.GetOrRegisterGauge("version", reg)
 	commit := metrics.GetOrRegisterGauge("commit-index", reg)
 	term := metrics.GetOrRegisterGauge("term", reg)
--- a/control/document/store.go
+++ b/control/document/store.go
@@ -8,12 +8,14 @@
 	"errors"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc"
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/core"
 	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/protocol/control"
+	"catkinrail.example/catkinrail/protocol/metricspage"
 	"catkinrail.example/catkinrail/state/cluster"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
@@ -33,18 +35,30 @@
 type Store struct {
 	core    *core.Core
 	clients *rpc.Pool
+	clock   catkinrail.Clock
+	// puts and reads are the times that calls took.
+	puts, reads metrics.Histogram
 }
 
 var _ catkinrail.DocumentStore = (*Store)(nil)
 
 // New returns a store on top of the core.
-func New(c *core.Core, clients *rpc.Pool) *Store {
-	return &Store{core: c, clients: clients}
+func New(c *core.Core, clients *rpc.Pool, clock catkinrail.Clock, reg metrics.Registry) *Store {
+	return &Store{
+		core: c, clients: clients, clock: clock,
+		puts: metricspage.Histogram("document-put", reg), reads: metricspage.Histogram("document-read", reg),
+	}
+}
+
+// record notes the time since a call began.
+func (s *Store) record(h metrics.Histogram, began time.Time) {
+	h.Update(int64(s.clock.Now().Sub(began)))
 }
 
 // PutDocument implements catkinrail.DocumentStore. It asks again until ctx ends:
 // a document of one version takes effect once at most.
 func (s *Store) PutDocument(ctx context.Context, d *catkinrail.Document) error {
+	defer s.record(s.puts, s.clock.Now())
 	var last error
 	for {
 		c := s.core
@@ -86,6 +100,7 @@
 
 // CurrentDocument implements catkinrail.DocumentStore.
 func (s *Store) CurrentDocument(ctx context.Context) (*catkinrail.Document, error) {
+	defer s.record(s.reads, s.clock.Now())
 	var last error
 	for {
 		c := s.core
--- a/control/document/store_test.go
+++ b/control/document/store_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc/drpcmux"
@@ -72,7 +73,7 @@
 		require.NoError(t, control.DRPCRegisterControl(mux, entry.New(c, dir, follow.New(c, dir, clk, logs.Discard()))))
 		in.group.Go(func() error { return rpc.Serve(ctx, l, mux) })
 		c.Start(ctx, &in.group)
-		in.store = document.New(c, rpc.NewPool(nil))
+		in.store = document.New(c, rpc.NewPool(nil), clk, metrics.NewRegistry())
 		list = append(list, in)
 	}
 	t.Cleanup(func() {
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -170,8 +170,17 @@
 	seen        int64
 }
 
+// Observer hears of the times that the engine learns. It must not wait.
+type Observer interface {
+	// Handshake is the time from an opening packet to the caller's answer.
+	Handshake(took time.Duration)
+	// Answer is the time from a request to the acknowledgement of its answer.
+	Answer(took time.Duration)
+}
+
 // Engine decides about packets. It isn't safe for concurrent use.
 type Engine struct {
+	observer Observer
 	zone     catkinrail.Zone
 	rng      *rand.Rand
 	document *catkinrail.Document
@@ -206,6 +215,11 @@
 	}
 }
 
+// Observe passes the times that are learnt on to o.
+func (e *Engine) Observe(o Observer) {
+	e.observer = o
+}
+
 // Decide returns what to do with a packet.
 func (e *Engine) Decide(p *catkinrail.TokenPacket, now int64) Verdict {
 	if e.document == nil {
--- a/coordination/token/observe.go
+++ b/coordination/token/observe.go
@@ -61,6 +61,9 @@
 	f.backend.unopened--
 	f.backend.misses = 0
 	took := time.Duration(now - f.opened)
+	if e.observer != nil {
+		e.observer.Handshake(took)
+	}
 	if e.usual == 0 {
 		e.usual = took
 		return
@@ -94,6 +97,9 @@
 	}
 	b := f.backend
 	took := time.Duration(now - f.asked)
+	if e.observer != nil {
+		e.observer.Answer(took)
+	}
 	f.asked = 0
 	b.waiting--
 	if b.latency == 0 {
--- a/entry/packet/worker.go
+++ b/entry/packet/worker.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -15,6 +16,7 @@
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/entry/fabric"
 	"catkinrail.example/catkinrail/logs"
+	"catkinrail.example/catkinrail/protocol/metricspage"
 	"catkinrail.example/catkinrail/transport/udp"
 )
 
@@ -77,12 +79,28 @@
 		bad: metrics.GetOrRegisterCounter("packets-bad", reg), unsent: metrics.GetOrRegisterCounter("packets-send-failed", reg),
 		arena: make([]byte, 0, arenaSize),
 	}
+	r.Do(func(e *token.Engine, _ int64) {
+		e.Observe(&times{
+			handshake: metricspage.Histogram("handshake", reg), answer: metricspage.Histogram("answer", reg),
+		})
+	})
 	for _, reason := range token.Reasons() {
 		w.reasons = append(w.reasons, metrics.GetOrRegisterCounter("packets-"+reason.String(), reg))
 	}
 	return w
 }
 
+// times are the histograms of what the engine learns.
+type times struct {
+	handshake, answer metrics.Histogram
+}
+
+// Handshake implements token.Observer.
+func (t *times) Handshake(took time.Duration) { t.handshake.Update(int64(took)) }
+
+// Answer implements token.Observer.
+func (t *times) Answer(took time.Duration) { t.answer.Update(int64(took)) }
+
 // Last returns the time of the last packet, in nanoseconds of the clock.
 func (w *Worker) Last() int64 {
 	return w.last.Load()
--- a/protocol/metricspage/page.go
+++ b/protocol/metricspage/page.go
@@ -60,6 +60,8 @@
 			lines = append(lines, fmt.Sprintf("%s %d", full, m.Count()))
 		case metrics.Gauge:
 			lines = append(lines, fmt.Sprintf("%s %d", full, m.Value()))
+		case metrics.Histogram:
+			lines = append(lines, summary(full, m.Snapshot())...)
 		}
 	})
 	slices.Sort(lines)
@@ -68,6 +70,33 @@
 	}
 }
 
+// quantiles are those that a histogram's lines give.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// summary returns the lines of a histogram of times, in seconds.
+func summary(name string, h metrics.Histogram) []string {
+	lines := []string{
+		fmt.Sprintf("%s_seconds_count %d", name, h.Count()),
+		fmt.Sprintf("%s_seconds_max %g", name, time.Duration(h.Max()).Seconds()),
+	}
+	for i, v := range h.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s_seconds{quantile=\"%g\"} %g", name, quantiles[i], time.Duration(v).Seconds()))
+	}
+	return lines
+}
+
+// sampleSize is the number of times that a histogram keeps, 8 KB of them.
+const sampleSize = 1028
+
+// sampleBias makes a histogram follow about the last five minutes, as the
+// library suggests.
+const sampleBias = 0.015
+
+// Histogram returns a histogram of times that is registered with reg.
+func Histogram(name string, reg metrics.Registry) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, reg, metrics.NewExpDecaySample(sampleSize, sampleBias))
+}
+
 // Serve serves the pages until ctx ends.
 func Serve(ctx context.Context, addr, prefix string, reg metrics.Registry, ready func() error) error {
 	return ServeHTTP(ctx, addr, Handler(prefix, reg, ready))
