--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -125,7 +125,7 @@
 		}
 		x.document = v
 	}
-	changed, err := x.tellBackends(now)
+	changed, err := x.sendBackends(now)
 	if err != nil {
 		return nil, err
 	}
@@ -133,11 +133,11 @@
 		return changed, nil
 	}
 	x.current, x.complete = current, complete
-	return changed, x.tellState(snap)
+	return changed, x.sendState(snap)
 }
 
-// tellBackends sends the changes of the directory, up to the latest.
-func (x *stream) tellBackends(now int64) (<-chan struct{}, error) {
+// sendBackends sends the changes of the directory, up to the latest.
+func (x *stream) sendBackends(now int64) (<-chan struct{}, error) {
 	for {
 		fr, changed, err := x.feed.next(x.revision, now)
 		if err != nil || fr == nil {
@@ -150,8 +150,8 @@
 	}
 }
 
-// tellState sends the sender's own state.
-func (x *stream) tellState(snap *core.Snapshot) error {
+// sendState sends the sender's own state.
+func (x *stream) sendState(snap *core.Snapshot) error {
 	u := &message.FollowUpdate{Current: x.current, Complete: x.complete, State: true}
 	if snap.Members != x.members {
 		x.members = snap.Members
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -99,9 +99,9 @@
 	wait := time.NewTimer(0)
 	defer wait.Stop()
 	for ctx.Err() == nil {
-		message, at, changed := d.compose(p)
-		if message != nil {
-			d.settle(p, at, d.call(ctx, client, p, message))
+		g, at, changed := d.compose(p)
+		if g != nil {
+			d.settle(p, at, d.call(ctx, client, p, g))
 		}
 		wait.Reset(pulseInterval)
 		select {
--- a/document.go
+++ b/document.go
@@ -1,6 +1,8 @@
 package catkinrail
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -130,3 +132,18 @@
 	}
 	return r.Targets[len(r.Targets)-1].Service
 }
+
+// ErrUnavailable means that this instance can't answer for now and that another
+// one may.
+var ErrUnavailable = errors.New("not available at this instance for now")
+
+// DocumentStore keeps the operators' document.
+type DocumentStore interface {
+	// PutDocument returns once the document, or a later one, is committed. A
+	// document that is not newer than the one in force changes nothing.
+	PutDocument(ctx context.Context, d *Document) error
+	// CurrentDocument returns the newest document, proved current after the
+	// call began. It returns nil if there is none yet, and ErrUnavailable if
+	// there is no proof.
+	CurrentDocument(ctx context.Context) (*Document, error)
+}
--- a/token.go
+++ b/token.go
@@ -77,3 +77,13 @@
 	}
 	return t
 }
+
+// BackendRegistry takes what backend servers say of themselves.
+type BackendRegistry interface {
+	// Report takes a report. It returns the control instance that the backend
+	// server should report to from now on; invalid if any will do.
+	Report(inc *Incarnation) netip.AddrPort
+	// Leave takes the end of an incarnation. Born is zero if the backend server
+	// didn't say which.
+	Leave(name string, born int64)
+}
