--- a/control/operator/read.go
+++ b/control/operator/read.go
@@ -146,6 +146,9 @@
 
 func fillStatus(r *api.StatusReply, state *cluster.State, status *core.Status) {
 	r.Version, r.Term, r.Commit, r.Leader = state.Version, status.Term, status.Commit, status.Leader
+	if d := state.Document; d != nil {
+		r.DocumentVersion, r.DocumentRoutes = d.Version, uint32(len(d.Routes))
+	}
 	for _, id := range sortedNodes(status.Members) {
 		p := status.Members.Nodes[id]
 		role := "voter"
--- a/ctl/commands/status.go
+++ b/ctl/commands/status.go
@@ -21,6 +21,9 @@
 		}
 		return a.print(r, func(w io.Writer) {
 			fmt.Fprintf(w, "version\t%d\n", r.GetVersion())
+			if r.GetDocumentVersion() > 0 {
+				fmt.Fprintf(w, "document\t%d, of %d routes\n", r.GetDocumentVersion(), r.GetDocumentRoutes())
+			}
 			fmt.Fprintf(w, "term\t%d\n", r.GetTerm())
 			fmt.Fprintf(w, "leader\t%s\n", r.GetLeader())
 			fmt.Fprintf(w, "view\t%s, %d members\n", r.GetViewPhase(), r.GetViewMembers())
