control, follow: name the leader to those who join; don't wait for instances that were never in touch

Cause 1: an instance with an empty disk asked its seeds, none of which led; their answer named the leader in an error text only, so it never joined in 18 s. Cause 2: an entry instance gave each of two control instances that were out of touch 1.2 s and more before it tried the next. Change: every answer to a request to join names the members and the leader; an instance that was not in touch since the stream began is left after 200 ms. Tests first: a follower's answer, patience.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -250,6 +250,8 @@
 	addr := known[attempt%len(known)]
 	if leader, ok := snap.Members.Nodes[snap.Leader]; ok && attempt%2 == 0 {
 		addr = leader.Addr
+	} else if named := v.Leader(); named != "" && attempt%2 == 0 {
+		addr = named
 	}
 	if addr == d.cfg.Address {
 		return
--- a/control/core/document_test.go
+++ b/control/core/document_test.go
@@ -234,6 +234,21 @@
 	require.Equal(t, 4, e.leader().Snapshot().Members.Voters())
 }
 
+// TestFollowerNamesTheLeader lets an instance with an empty disk find a leader that
+// is none of the seeds that it knows.
+func TestFollowerNamesTheLeader(t *testing.T) {
+	e := newEnsembleWith(t, 4, noLease, 0)
+	lead := e.leader()
+	other := e.cores[lead.cfg.ID%4+1]
+	req := &message.JoinRequest{Node: 9, Peer: quorum.Peer{Name: "new", Addr: "addr-9"}}
+	reply := other.answerJoin(req)
+	require.NoError(t, reply.err)
+	require.True(t, reply.Wait)
+	require.Equal(t, lead.cfg.ID, reply.Leader)
+	require.Equal(t, fmt.Sprint("addr-", lead.cfg.ID), reply.Members.Nodes[reply.Leader].Addr)
+	require.NotContains(t, lead.Snapshot().Members.Nodes, quorum.NodeID(9))
+}
+
 // TestMemberTellsItsAddresses changes how a voter is reached.
 func TestMemberTellsItsAddresses(t *testing.T) {
 	e := newEnsembleWith(t, 3, noLease, 0)
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -40,21 +40,31 @@
 // Join takes one step towards a vote for an instance with a new disk: it becomes
 // a learner, an earlier member of its name or address is removed, and once it
 // has caught up it gets its vote. The reply names the members, which the
-// instance needs to answer them.
+// instance needs to answer them, and the leader, which may be none of the seeds;
+// an instance that doesn't lead answers with these alone.
 func (c *Core) Join(ctx context.Context, req *message.JoinRequest) (*message.JoinReply, error) {
-	reply := &message.JoinReply{}
-	var result error
-	err := c.do(ctx, func() {
-		if !c.leader.active {
-			result = c.leaderError()
-			return
-		}
-		if result = c.joinStep(req); errors.Is(result, ErrWait) {
-			reply.Wait, result = true, nil
+	var answer joinAnswer
+	err := c.do(ctx, func() { answer = c.answerJoin(req) })
+	return &answer.JoinReply, errors.Join(err, answer.err)
+}
+
+// joinAnswer is the answer to a request to join.
+type joinAnswer struct {
+	message.JoinReply
+	err error
+}
+
+func (c *Core) answerJoin(req *message.JoinRequest) joinAnswer {
+	a := joinAnswer{JoinReply: message.JoinReply{Wait: true, Leader: c.node.LeaderID()}}
+	if c.leader.active {
+		a.err = c.joinStep(req)
+		a.Wait = errors.Is(a.err, ErrWait)
+		if a.Wait {
+			a.err = nil
 		}
-		reply.Members = *c.node.Members()
-	})
-	return reply, errors.Join(err, result)
+	}
+	a.Members = *c.node.Members()
+	return a
 }
 
 func (c *Core) joinStep(req *message.JoinRequest) error {
--- a/control/voter/voter.go
+++ b/control/voter/voter.go
@@ -39,6 +39,8 @@
 	senders map[quorum.NodeID]*sender
 	// contacts are the members that a leader has named.
 	contacts *quorum.Members
+	// leader is the address of the leader that was named with them.
+	leader string
 }
 
 type sender struct {
@@ -177,14 +179,26 @@
 	if err != nil {
 		return false, err
 	}
-	v.learn(&reply.Members)
+	v.learn(&reply)
 	return !reply.Wait, nil
 }
 
 // learn notes how to reach members that this instance's own log doesn't name
 // yet.
-func (v *Voters) learn(m *quorum.Members) {
+func (v *Voters) learn(reply *message.JoinReply) {
+	if len(reply.Members.Nodes) == 0 {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.contacts = reply.Members.Clone()
+	v.leader = reply.Members.Nodes[reply.Leader].Addr
+}
+
+// Leader returns the address of the leader that an answer to Join has named, or
+// an empty string.
+func (v *Voters) Leader() string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.contacts = m.Clone()
+	return v.leader
 }
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -32,6 +32,8 @@
 	// Wait asks for the request to be sent again later.
 	Wait    bool           `cbor:"1,keyasint,omitempty"`
 	Members quorum.Members `cbor:"2,keyasint"`
+	// Leader is the member to ask next, zero if none is known.
+	Leader quorum.NodeID `cbor:"3,keyasint,omitempty"`
 }
 
 // Registered answers a registration.
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -31,8 +31,9 @@
 	// staleAfter is how long a control instance may be out of touch with its
 	// leader before another is tried: an election or two.
 	staleAfter = 1200 * time.Millisecond
-	// staleFirst is the same before the first document: any control instance that
-	// has it will do, and service waits for it.
+	// staleFirst is the same for a control instance that was not in touch since the
+	// stream began, and before the first document: another one is likely to be, and
+	// several that are not must not use up the bound on a change together.
 	staleFirst = 200 * time.Millisecond
 	// returnAfter is the time after which the control instance of the own zone is
 	// tried again.
@@ -193,6 +194,8 @@
 	// current is the time of the last update of an instance in touch with its
 	// leader.
 	current time.Time
+	// touched is set once the instance was in touch.
+	touched bool
 	// moved is set if the stream was ended for a better one.
 	moved bool
 }
@@ -221,12 +224,12 @@
 			if err != nil {
 				return err
 			}
-			silent.Reset(silentAfter)
 			var u message.FollowUpdate
 			if err := cluster.DecodePacked(f.GetBody(), &u); err != nil {
 				return err
 			}
 			s.take(&u)
+			silent.Reset(s.patience())
 			if u.State && s.leave() {
 				cancel()
 				return nil
@@ -235,11 +238,19 @@
 	})
 }
 
+// patience is how long the next update may take.
+func (s *session) patience() time.Duration {
+	if s.client.Ready() && !s.touched {
+		return staleFirst
+	}
+	return silentAfter
+}
+
 // leave reports whether another control instance should be followed.
 func (s *session) leave() bool {
 	now := s.client.clock.Now()
 	patience := staleAfter
-	if !s.client.Ready() {
+	if !s.client.Ready() || !s.touched {
 		patience = staleFirst
 	}
 	if now.Sub(s.current) > patience {
@@ -262,7 +273,7 @@
 	}
 	c.setPeers(u.Peers)
 	if u.Current {
-		s.current = c.clock.Now()
+		s.current, s.touched = c.clock.Now(), true
 	}
 	list := make([]token.Followed, len(u.Backends))
 	for i := range u.Backends {
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -86,6 +86,55 @@
 	}
 }
 
+// TestPatience bounds the time with a control instance that is out of touch. Three
+// in a row that never were, after one that was, must leave room in the bound of 3 s
+// on a change.
+func TestPatience(t *testing.T) {
+	tests := []struct {
+		name           string
+		ready, touched bool
+		after          time.Duration
+		leaves         bool
+	}{
+		{"an election", true, true, time.Second, false},
+		{"out of touch for long", true, true, staleAfter + time.Millisecond, true},
+		{"never in touch", true, false, staleFirst + time.Millisecond, true},
+		{"never in touch, just now", true, false, staleFirst - time.Millisecond, false},
+		{"before the first document", false, true, staleFirst + time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clk := &manual{now: time.Unix(1000, 0)}
+			c, _ := newClient("a", "s:1")
+			c.clock = clk
+			c.synced.Store(tt.ready)
+			s := &session{client: c, addr: "s:1", current: clk.now, touched: tt.touched}
+			clk.now = clk.now.Add(tt.after)
+			require.Equal(t, tt.leaves, s.leave())
+		})
+	}
+	// A stream that was in touch is left at a sign of life, the others by time.
+	const keepAlive = 400 * time.Millisecond
+	require.Less(t, staleAfter+keepAlive+3*(staleFirst+maxBackoff), 3*time.Second)
+}
+
+func TestSilencePatience(t *testing.T) {
+	tests := []struct {
+		ready, touched bool
+		want           time.Duration
+	}{
+		{true, true, silentAfter},
+		{true, false, staleFirst},
+		{false, true, silentAfter},
+		{false, false, silentAfter},
+	}
+	for _, tt := range tests {
+		c, _ := newClient("a", "s:1")
+		c.synced.Store(tt.ready)
+		require.Equal(t, tt.want, (&session{client: c, touched: tt.touched}).patience())
+	}
+}
+
 // standIn is a control instance that sends prepared updates and then waits.
 type standIn struct {
 	control.DRPCControlUnimplementedServer
