--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -167,7 +167,7 @@
 }
 
 func (d *daemon) serve(ctx context.Context, g *errgroup.Group, j *journal.Journal, stored quorum.Stored) error {
-	l, err := rpc.Listen(ctx, d.cfg.Address, d.creds)
+	l, err := rpc.Listen(ctx, d.cfg.Listen, d.creds)
 	if err != nil {
 		return err
 	}
--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -26,8 +26,10 @@
 type Settings struct {
 	Name string          `yaml:"name"`
 	Zone catkinrail.Zone `yaml:"zone"`
-	// Address is where the instance answers calls.
+	// Address is where others reach the instance.
 	Address string `yaml:"address"`
+	// Listen is where it takes their calls; empty for Address.
+	Listen string `yaml:"listen"`
 	// Data is the folder of the instance's durable state.
 	Data string `yaml:"data"`
 	// Peers are all control instances, this one included.
@@ -92,7 +94,7 @@
 			add(f.field, "is missing")
 		}
 	}
-	for _, f := range []struct{ field, value string }{{"address", s.Address}, {"metrics", s.Metrics}, {"public", s.Public}} {
+	for _, f := range []struct{ field, value string }{{"address", s.Address}, {"listen", s.Listen}, {"metrics", s.Metrics}, {"public", s.Public}} {
 		if f.field != "address" && f.value == "" {
 			continue
 		}
@@ -100,6 +102,9 @@
 			add(f.field, fmt.Sprintf("%q must be an IP address and a port", f.value))
 		}
 	}
+	if s.Listen == "" {
+		s.Listen = s.Address
+	}
 	if s.Lease == 0 {
 		s.Lease = defaultLease
 	}
--- a/emulator/cmd/catkinrail-emulator/main.go
+++ b/emulator/cmd/catkinrail-emulator/main.go
@@ -24,7 +24,7 @@
 
 func run() int {
 	app := kingpin.New("catkinrail-emulator", "Stands in for callers, the fabric and backend servers.")
-	commands := []command{backendsCommand(app), loadCommand(app), measureCommand(app), benchCommand(app), controlCommand(app), capacityCommand(app), platformNodeCommand(app), platformRunCommand(app)}
+	commands := []command{backendsCommand(app), loadCommand(app), measureCommand(app), benchCommand(app), controlCommand(app), capacityCommand(app), platformNodeCommand(app), platformRunCommand(app), proxyCommand(app)}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/emulator/cmd/catkinrail-emulator/platform_node.go
+++ b/emulator/cmd/catkinrail-emulator/platform_node.go
@@ -17,6 +17,7 @@
 	name := c.Flag("name", "Name of the machine.").Required().String()
 	zone := c.Flag("zone", "Availability zone.").Required().String()
 	ip := c.Flag("ip", "Address of the machine.").Required().String()
+	listen := c.Flag("listen", "Address that the machine listens on, if it is reached through another.").String()
 	seeds := c.Flag("seed", "Address of a control instance; repeat it for up to three.").Required().Strings()
 	data := c.Flag("data", "Folder of the durable state; none on an entry instance.").String()
 	first := c.Flag("first", "The whole system starts for the first time.").Bool()
@@ -26,6 +27,11 @@
 		if n.IP, err = netip.ParseAddr(*ip); err != nil {
 			return err
 		}
+		if *listen != "" {
+			if n.Listen, err = netip.ParseAddr(*listen); err != nil {
+				return err
+			}
+		}
 		for _, text := range *seeds {
 			seed, err := netip.ParseAddr(text)
 			if err != nil {
--- /dev/null
+++ b/emulator/cmd/catkinrail-emulator/proxy.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"golang.org/x/sync/errgroup"
+
+	"catkinrail.example/catkinrail/emulator/proxy"
+	"catkinrail.example/catkinrail/platform/standin"
+)
+
+// proxyCommand passes on the connections to control instances, and harms them.
+func proxyCommand(app *kingpin.Application) command {
+	c := app.Command("platform-proxy", "Pass on connections to control instances, and harm them.")
+	links := c.Flag("node", "Addresses of a control instance as LISTEN=TARGET; repeat it for all.").Required().Strings()
+	seed := c.Flag("seed", "Seed of the faults.").Required().Uint64()
+	return command{clause: c, run: func(ctx context.Context) error {
+		g, ctx := errgroup.WithContext(ctx)
+		var nodes []*proxy.Node
+		for _, text := range *links {
+			n, err := proxyNode(text)
+			if err != nil {
+				return err
+			}
+			for _, l := range n.Links {
+				if err := l.Run(ctx, g); err != nil {
+					return err
+				}
+			}
+			nodes = append(nodes, n)
+		}
+		g.Go(func() error {
+			proxy.Harm(ctx, *seed, nodes, os.Stdout)
+			return nil
+		})
+		return g.Wait()
+	}}
+}
+
+// proxyNode reads LISTEN=TARGET.
+func proxyNode(text string) (*proxy.Node, error) {
+	from, to, ok := strings.Cut(text, "=")
+	if !ok {
+		return nil, fmt.Errorf("%q is not LISTEN=TARGET", text)
+	}
+	listen, err := netip.ParseAddr(from)
+	if err != nil {
+		return nil, err
+	}
+	target, err := netip.ParseAddr(to)
+	if err != nil {
+		return nil, err
+	}
+	n := &proxy.Node{Name: from}
+	for _, port := range []uint16{standin.ControlPort, standin.InternalPort} {
+		n.Links = append(n.Links, &proxy.Link{Listen: netip.AddrPortFrom(listen, port), Target: netip.AddrPortFrom(target, port)})
+	}
+	return n, nil
+}
--- a/scripts/platform-lib.sh
+++ b/scripts/platform-lib.sh
@@ -21,11 +21,24 @@
 	start "$1" env CATKINRAIL_NODE_FILE="$out/$1.yaml" "$bin/$program" --platform
 }
 
-# start_platform: three zones of a control instance and two entry instances.
+# start_platform [SEED]: three zones of a control instance and two entry instances.
+# With a seed, all connections to control instances go through proxies that harm
+# them.
 start_platform() {
-	local z n
+	local z n args
+	if [ $# -gt 0 ]; then
+		args=()
+		for z in 1 2 3; do
+			args+=(--node "127.$net.$z.100=127.$net.$z.101")
+		done
+		start platform-proxy "$bin/catkinrail-emulator" platform-proxy --seed "$1" "${args[@]}"
+	fi
 	for z in 1 2 3; do
-		node "core-$z" "$z" "127.$net.$z.100" --data "$out/data-$z" --first
+		args=()
+		if [ $# -gt 0 ]; then
+			args=(--listen "127.$net.$z.101")
+		fi
+		node "core-$z" "$z" "127.$net.$z.100" "${args[@]}" --data "$out/data-$z" --first
 		start_on_platform "core-$z"
 		for n in 1 2; do
 			node "front-$z-$n" "$z" "127.$net.$z.$n"
