--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -35,8 +35,8 @@
 	// percent of a waiting request: an idle feed asks again within seconds.
 	idleFlowPercent = 15
 	// warmupPercent is the load of a warming server in percent of the same load
-	// on a warm one.
-	warmupPercent = 200
+	// on a warm one. An idle one still goes before an idle one in another zone.
+	warmupPercent = 600
 	// minSpeedPercent and maxSpeedPercent bound how far a server's latency,
 	// relative to the others', counts.
 	minSpeedPercent = 50
--- a/coordination/place/place_test.go
+++ b/coordination/place/place_test.go
@@ -68,6 +68,12 @@
 		{"a cold one gets less", []place.Candidate{
 			with(func(c *place.Candidate) { c.Warmup = time.Second }), with(func(c *place.Candidate) { c.Flows = 2 }),
 		}, 1},
+		{"an idle cold one comes after a warm one with a request waiting behind each slot", []place.Candidate{
+			with(func(c *place.Candidate) { c.Warmup = time.Second }), with(func(c *place.Candidate) { c.Flows, c.Waiting = 4, 4 }),
+		}, 1},
+		{"an idle cold one comes before an idle one in another zone", []place.Candidate{
+			with(func(c *place.Candidate) { c.Warmup = time.Second }), with(func(c *place.Candidate) { c.Local = false }),
+		}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
