token, directory: order reports by one rule; forget what has ended

Cause: entry instances and control ordered reports of a backend server by two rules that were nearly the same. In an entry instance a report that lagged prolonged the warm-up that it told of, and one of the same number could take a drain back. An entry instance also kept every incarnation for its whole life, so that its memory and the cost of a change grew with each release.

Change: Incarnation.Newer is the only order. An incarnation that is gone or silent is forgotten after ten minutes, as in control. Waiting for a span was written nine times and is clock.Sleep now; both daemons read the platform's settings file through platform.ReadFile.

Ruled out: forgetting by control's word, which would need a message of its own that may be lost.

Before: TestEndedIncarnationsAreForgotten kept 3 of 1, and TestLateReportDoesNotProlongWarmup gave a warm server 3 of 20 flows. After: both pass.

--- a/control/cmd/catkinrail-control/main.go
+++ b/control/cmd/catkinrail-control/main.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail/logs"
+	"catkinrail.example/catkinrail/platform"
 	"catkinrail.example/catkinrail/settings"
 )
 
@@ -23,13 +24,17 @@
 	app := kingpin.New("catkinrail-control", "Runs a control instance.\n\nExit codes: 0 after a shutdown, 1 if it failed, 2 if the settings are wrong.")
 	bootstrap := app.Flag("bootstrap", "Begin a new cluster. All peers must be started with it, on empty data folders.").Bool()
 	var cfg Settings
-	var file *platformFile
-	source := settings.Source{Platform: func() error {
-		f, given, err := readPlatform()
-		if err == nil {
-			file, cfg = f, *given
+	var file *platform.File
+	source := settings.Source{Platform: func() (err error) {
+		if file, err = platform.ReadFile(); err != nil {
+			return err
 		}
-		return err
+		given, err := platformSettings(file.Name, file.Content)
+		if err != nil {
+			return err
+		}
+		cfg = *given
+		return nil
 	}}
 	if run, code := source.Program(app, os.Args[1:], &cfg); !run {
 		return code
@@ -45,8 +50,8 @@
 	g.Go(func() error { return d.run(ctx, g) })
 	if file != nil {
 		g.Go(func() error {
-			settings.Watch(ctx, file.name, file.content, hup, log, func(b []byte) error {
-				given, err := platformSettings(file.name, b)
+			settings.Watch(ctx, file.Name, file.Content, hup, log, func(b []byte) error {
+				given, err := platformSettings(file.Name, b)
 				if err == nil {
 					d.setSeeds(given)
 				}
--- a/control/cmd/catkinrail-control/platform.go
+++ b/control/cmd/catkinrail-control/platform.go
@@ -2,10 +2,8 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
-	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/platform"
 	"catkinrail.example/catkinrail/transport/rpc"
@@ -24,26 +22,6 @@
 	reportTimeout = time.Second
 )
 
-// platformFile is the platform's settings file with its contents.
-type platformFile struct {
-	name    string
-	content []byte
-}
-
-// readPlatform reads the settings that the platform gives.
-func readPlatform() (*platformFile, *Settings, error) {
-	name, err := platform.SettingsFile()
-	if err != nil {
-		return nil, nil, err
-	}
-	b, err := os.ReadFile(name)
-	if err != nil {
-		return nil, nil, catkinrail.At(err, "read settings", name)
-	}
-	cfg, err := platformSettings(name, b)
-	return &platformFile{name: name, content: b}, cfg, err
-}
-
 // platformSettings translates the contents of the platform's settings file.
 func platformSettings(file string, b []byte) (*Settings, error) {
 	n, err := platform.ParseNode(file, b)
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -11,6 +11,7 @@
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/transport/clock"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
 
@@ -108,21 +109,12 @@
 		case <-ctx.Done():
 		case <-wait.C:
 		case <-changed:
-			sleep(ctx, settleTime)
+			clock.Sleep(ctx, settleTime)
 		}
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, span time.Duration) {
-	t := time.NewTimer(span)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // compose returns what the peer hasn't heard, or nil, and the revision that it
 // has heard after that.
 func (d *Directory) compose(p *peer) (*message.Gossip, uint64, <-chan struct{}) {
--- a/control/gossip/save.go
+++ b/control/gossip/save.go
@@ -11,6 +11,7 @@
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/state/cluster"
 	"catkinrail.example/catkinrail/state/journal"
+	"catkinrail.example/catkinrail/transport/clock"
 )
 
 // saveInterval is the least time between two writes of the directory.
@@ -60,7 +61,7 @@
 		} else if skipped, ok := limiter.Allow(); ok {
 			d.cfg.Log.Warn(catkinrail.At(err, "write directory", "")).Uint64("skipped", skipped).Msg("directory not saved")
 		}
-		sleep(ctx, saveInterval)
+		clock.Sleep(ctx, saveInterval)
 		if err != nil {
 			continue
 		}
--- a/coordination/place/loads_test.go
+++ b/coordination/place/loads_test.go
@@ -52,7 +52,7 @@
 // server is a backend server of the replayed system.
 type server struct {
 	zone    int
-	slow    time.Duration // time of a request, relative to usual
+	slow    float64 // time of a request, relative to usual
 	born    time.Duration
 	drains  time.Duration // zero for never
 	dies    time.Duration // zero for never
@@ -101,10 +101,8 @@
 }
 
 // add adds a backend server that starts now.
-func (s *system) add(zone int) *server {
-	b := &server{zone: zone, slow: 1, born: s.now}
-	s.servers = append(s.servers, b)
-	return b
+func (s *system) add(zone int) {
+	s.servers = append(s.servers, &server{zone: zone, slow: 1, born: s.now})
 }
 
 // entry returns an entry instance that a packet of a caller of the zone reaches.
@@ -168,7 +166,7 @@
 			slot = i
 		}
 	}
-	work := time.Duration(s.rng.ExpFloat64() * float64(usual*b.slow))
+	work := time.Duration(s.rng.ExpFloat64() * float64(usual) * b.slow)
 	if s.now < b.born+warmTime && b.born > 0 {
 		work *= coldFactor
 	}
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -143,6 +143,8 @@
 	missed   int64
 	// ended is the time at which its life was found to be over.
 	ended int64
+	// quiet is the time at which its silence was told.
+	quiet int64
 }
 
 // Token returns the token that packets to the backend server carry.
--- a/coordination/token/engine_test.go
+++ b/coordination/token/engine_test.go
@@ -314,6 +314,39 @@
 	require.Zero(t, e.Flows())
 }
 
+// TestEndedIncarnationsAreForgotten replays a year of releases: what is known stays
+// as large as what lives.
+func TestEndedIncarnationsAreForgotten(t *testing.T) {
+	keep := int64(catkinrail.KeepEnded)
+	e := newEngine(backend("a", 1), backend("b", 2), backend("c", 3))
+	gone, silent := backend("b", 2), backend("c", 3)
+	gone.Gone, silent.Silent = true, true
+	e.Update([]token.Followed{gone, silent}, 0)
+	e.Tick(keep)
+	require.Len(t, e.Backends(), 3)
+	e.Tick(keep + 1)
+	require.Len(t, e.Backends(), 1)
+	require.Equal(t, token.ReasonUnknownToken, e.Decide(data(1, gone.Token(), 2, 1, 1), keep+1).Reason)
+	silent.Silent, silent.Sequence = false, 9
+	require.Len(t, e.Update([]token.Followed{silent}, keep+2), 1, "it reports again")
+	require.Equal(t, token.ReasonToken, e.Decide(data(2, silent.Token(), 2, 1, 1), keep+2).Reason)
+}
+
+// TestLateReportDoesNotProlongWarmup covers a control instance that lags behind the
+// one followed before.
+func TestLateReportDoesNotProlongWarmup(t *testing.T) {
+	cold, warm := backend("a", 1), backend("b", 2)
+	cold.Warmup, cold.Sequence = time.Second, 5
+	e := newEngine(cold, warm)
+	cold.Sequence = 4
+	e.Update([]token.Followed{cold}, 900*ms)
+	placed := map[string]int{}
+	for port := range uint16(20) {
+		placed[e.Decide(opening(port, 0), 1500*ms).Backend.Name]++
+	}
+	require.Equal(t, map[string]int{"a": 10, "b": 10}, placed)
+}
+
 // TestBackendThatResetsAttractsNoFlows replays callers that try again at once
 // when a backend server resets their flow: without a load of its own it must not
 // look like the best one.
--- a/coordination/token/observe.go
+++ b/coordination/token/observe.go
@@ -109,8 +109,10 @@
 	b.latency += (took - b.latency) >> latencyShift
 }
 
-// Tick forgets flows that are over. It should be called about once a second.
+// Tick forgets flows and incarnations that are over. It should be called about
+// once a second.
 func (e *Engine) Tick(now int64) {
+	e.forgetEnded(now)
 	for key, f := range e.flows {
 		if now-f.seen > int64(flowTimeout) || (!f.open && now-f.opened > int64(openTimeout)) {
 			e.forget(key, f)
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -60,27 +60,17 @@
 	for i := range list {
 		in := &list[i]
 		b := e.backends[in.Name]
-		if b != nil && older(&in.Incarnation, &b.Incarnation) {
+		if b != nil && in.ended(&b.Incarnation) {
 			continue
 		}
-		if b != nil && b.Born == in.Born && in.Sequence < b.Sequence {
-			// The sender lags; only its own observation is new.
-			in.Incarnation = b.Incarnation
-		}
 		if b == nil || b.Born != in.Born {
 			// The flows of an earlier life have ended with it.
 			b = &Backend{}
 			e.backends[in.Name] = b
 		}
-		if b.Name == "" || b.Draining != in.Draining || b.Gone != in.Gone || b.silent != in.Silent {
+		if b.take(in, now) {
 			changed = append(changed, b)
 		}
-		if in.Gone && !b.Gone {
-			b.ended = now
-		}
-		b.Incarnation, b.silent = in.Incarnation, in.Silent
-		b.token = in.Token()
-		b.warm = now + int64(in.Warmup)
 	}
 	if len(changed) > 0 {
 		e.index()
@@ -88,12 +78,48 @@
 	return changed
 }
 
-// older reports whether a comes before b, which has the same name.
-func older(a, b *catkinrail.Incarnation) bool {
-	if a.Born != b.Born {
-		return a.Born < b.Born
+// ended reports whether known says that the life which in tells of is over.
+func (in *Followed) ended(known *catkinrail.Incarnation) bool {
+	if in.Born != known.Born {
+		return in.Born < known.Born
+	}
+	return known.Gone && !in.Gone
+}
+
+// take takes a report, unless a newer one is known: then only what its sender
+// observed is new. It reports whether the backend server changed.
+func (b *Backend) take(in *Followed, now int64) bool {
+	before := *b
+	if in.Newer(&b.Incarnation) {
+		b.Incarnation = in.Incarnation
+		b.token = in.Token()
+		b.warm = now + int64(in.Warmup)
+	}
+	b.silent = in.Silent
+	if b.Gone && !before.Gone {
+		b.ended = now
+	}
+	if b.silent && !before.silent {
+		b.quiet = now
+	}
+	return before.Name == "" || before.Draining != b.Draining || before.Gone != b.Gone || before.silent != b.silent
+}
+
+// forgetEnded forgets the incarnations that are long gone or silent.
+func (e *Engine) forgetEnded(now int64) {
+	n := len(e.backends)
+	for name, b := range e.backends {
+		since := b.quiet
+		if b.Gone {
+			since = b.ended
+		}
+		if (b.Gone || b.silent) && now-since > int64(catkinrail.KeepEnded) {
+			delete(e.backends, name)
+		}
+	}
+	if len(e.backends) < n {
+		e.index()
 	}
-	return b.Gone && !a.Gone
 }
 
 // index gives each token to the incarnation that was born first among those that
--- a/ctl/control/client.go
+++ b/ctl/control/client.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcerr"
 
 	"catkinrail.example/catkinrail/protocol/api"
+	"catkinrail.example/catkinrail/transport/clock"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
 
@@ -66,7 +67,7 @@
 		}
 		last = err
 		if (i+1)%len(c.clients) == 0 {
-			pause(ctx)
+			clock.Sleep(ctx, retryPause)
 		}
 	}
 	if uncertain {
@@ -81,15 +82,6 @@
 	return strings.Contains(text, "dial:") || strings.Contains(text, "handshake:")
 }
 
-func pause(ctx context.Context) {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Stream runs f with a connection that stays open until ctx ends.
 func (c *Client) Stream(ctx context.Context, f func(context.Context, api.DRPCOperatorClient) error) error {
 	var last error
--- a/emulator/bench/forward.go
+++ b/emulator/bench/forward.go
@@ -105,23 +105,14 @@
 	for i := range senders {
 		g.Go(func() error { return send(ctx, in.LocalAddr(), l.packet, i) })
 	}
-	pause(ctx, warmTime)
+	clock.Sleep(ctx, warmTime)
 	before, began := handled.Load(), time.Now()
-	pause(ctx, runTime)
+	clock.Sleep(ctx, runTime)
 	rate := float64(handled.Load()-before) / time.Since(began).Seconds()
 	cancel()
 	return rate, g.Wait()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // runEntry forwards as the daemon does.
 func runEntry(ctx context.Context, in *udp.Conn, to netip.AddrPort, handled *atomic.Int64) error {
 	e := newEngine(false, func(int, int) netip.AddrPort { return to })
--- a/emulator/cmd/catkinrail-emulator/load.go
+++ b/emulator/cmd/catkinrail-emulator/load.go
@@ -104,7 +104,7 @@
 	}
 	g.Go(func() error { return f.Run(runCtx) })
 	callers.Run(runCtx, g)
-	sleep(runCtx, duration)
+	clock.Sleep(runCtx, duration)
 	callers.End()
 	awaitEnd(runCtx, callers, profiles, finish)
 	cancel()
@@ -114,15 +114,6 @@
 	return report(callers.Results(profiles))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // awaitEnd waits until all flows have ended, at most for the given time.
 func awaitEnd(ctx context.Context, c *caller.Callers, profiles []*caller.Profile, limit time.Duration) {
 	const poll = 100 * time.Millisecond
@@ -134,7 +125,7 @@
 		if open == 0 {
 			return
 		}
-		sleep(ctx, poll)
+		clock.Sleep(ctx, poll)
 	}
 }
 
--- a/emulator/cmd/catkinrail-emulator/platform_run.go
+++ b/emulator/cmd/catkinrail-emulator/platform_run.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail/platform/standin"
+	"catkinrail.example/catkinrail/transport/clock"
 )
 
 // Load of the run on the stand-in platform.
@@ -178,7 +179,7 @@
 func (p *platformRun) churn(calling, ctx context.Context, g *errgroup.Group, routes []standin.Route, op *standin.Operator) error {
 	rng := rand.New(rand.NewPCG(p.seed, 1))
 	for version := uint64(2); calling.Err() == nil; version++ {
-		pause(calling, time.Duration(rng.Int64N(int64(platformChangePause))))
+		clock.Sleep(calling, time.Duration(rng.Int64N(int64(platformChangePause))))
 		if rng.IntN(2) == 0 {
 			p.replace(ctx, g, routes[rng.IntN(len(routes))].Service)
 			continue
@@ -210,15 +211,6 @@
 	}
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	t := time.NewTimer(span)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // readBack notes whether the document that is read is older than one that was
 // acknowledged.
 func (p *platformRun) readBack(ctx context.Context, op *standin.Operator, acknowledged uint64) error {
--- a/emulator/control/measure.go
+++ b/emulator/control/measure.go
@@ -68,9 +68,9 @@
 	if err != nil {
 		return r, err
 	}
-	pause(ctx, settleTime)
+	clock.Sleep(ctx, settleTime)
 	announceAll(f, names, &cfg)
-	pause(ctx, settleTime)
+	clock.Sleep(ctx, settleTime)
 	r.EntryMegabytes = (heap() - memory) / float64(cfg.Entries) / bytesPerMB
 	measureIdle(ctx, f, &cfg, &r)
 	if err := measureChanges(ctx, op, f, names, &cfg, &r); err != nil {
@@ -155,7 +155,7 @@
 func measureIdle(ctx context.Context, f *fleet, cfg *Config, r *Result) {
 	bytes, own, pids := f.bytes(), ownCPU(), cpuOf(cfg.PIDs)
 	began := time.Now()
-	pause(ctx, idleTime)
+	clock.Sleep(ctx, idleTime)
 	span := time.Since(began).Seconds()
 	n := float64(cfg.Entries)
 	r.EntryBytes = float64(f.bytes()-bytes) / span / n
@@ -183,7 +183,7 @@
 			return err
 		}
 		times = append(times, took)
-		pause(ctx, changeGap)
+		clock.Sleep(ctx, changeGap)
 	}
 	idle := r.EntryBytes * time.Since(began).Seconds() * float64(cfg.Entries)
 	r.ChangeBytes = (float64(f.bytes()-bytes) - idle) / float64(cfg.Entries*cfg.Changes)
--- a/emulator/control/standin.go
+++ b/emulator/control/standin.go
@@ -144,22 +144,13 @@
 		s.client.Leave()
 		s.client.Left()
 	}
-	pause(ctx, leaveTime)
+	clock.Sleep(ctx, leaveTime)
 	f.stop()
 	return f.group.Wait()
 }
 
 const leaveTime = 3 * time.Second
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // await waits until every stand-in has the version, and returns how long it took.
 func (f *fleet) await(ctx context.Context, version uint64, limit time.Duration) (time.Duration, error) {
 	began := time.Now()
@@ -167,7 +158,7 @@
 		if time.Since(began) > limit || ctx.Err() != nil {
 			return 0, fmt.Errorf("version %d is not in force after %s; the oldest is %d", version, limit, f.oldest())
 		}
-		pause(ctx, time.Millisecond)
+		clock.Sleep(ctx, time.Millisecond)
 	}
 	return time.Since(began), nil
 }
--- a/emulator/proxy/faults.go
+++ b/emulator/proxy/faults.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"time"
+
+	"catkinrail.example/catkinrail/transport/clock"
 )
 
 // Times of a fault.
@@ -71,7 +73,7 @@
 	rng := rand.New(rand.NewPCG(seed, 2))
 	kinds := harms(rng)
 	for {
-		if !sleep(ctx, between(rng, 0, maxPause)) {
+		if !clock.Sleep(ctx, between(rng, 0, maxPause)) {
 			return
 		}
 		h, n := kinds[rng.IntN(len(kinds))], nodes[rng.IntN(len(nodes))]
@@ -82,7 +84,7 @@
 			continue
 		}
 		fmt.Fprintf(w, "connections to %s: %s for %s\n", n.Name, h.name, span)
-		running := sleep(ctx, span)
+		running := clock.Sleep(ctx, span)
 		h.end(n)
 		if !running {
 			return
@@ -93,15 +95,3 @@
 func between(rng *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(rng.Int64N(int64(most-least)))
 }
-
-// sleep reports whether the time went by before ctx ended.
-func sleep(ctx context.Context, span time.Duration) bool {
-	t := time.NewTimer(span)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/entry/cmd/catkinrail-entry/daemon.go
+++ b/entry/cmd/catkinrail-entry/daemon.go
@@ -180,10 +180,5 @@
 // farewell gives the client time to report that the instance has left.
 func (d *daemon) farewell(ctx context.Context) {
 	d.client.Left()
-	t := time.NewTimer(farewellTime)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, farewellTime)
 }
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -37,8 +37,7 @@
 
 // tokenDaemon is an entry instance that routes by token.
 type tokenDaemon struct {
-	file    string
-	content []byte
+	file    *platform.File
 	node    *platform.Node
 	log     *logs.Logger
 	clock   *clock.System
@@ -52,22 +51,18 @@
 
 // loadPlatform reads the settings that the platform gives.
 func (d *tokenDaemon) loadPlatform() error {
-	file, err := platform.SettingsFile()
+	file, err := platform.ReadFile()
 	if err != nil {
 		return err
 	}
-	b, err := os.ReadFile(file)
-	if err != nil {
-		return catkinrail.At(err, "read settings", file)
-	}
-	n, err := platform.ParseNode(file, b)
+	n, err := platform.ParseNode(file.Name, file.Content)
 	if err != nil {
 		return err
 	}
 	if !n.Packets.IsValid() || !n.Readiness.IsValid() {
-		return catkinrail.At(errNoPackets, "read settings", file)
+		return catkinrail.At(errNoPackets, "read settings", file.Name)
 	}
-	d.file, d.content, d.node = file, b, n
+	d.file, d.node = file, n
 	return nil
 }
 
@@ -104,7 +99,7 @@
 	})
 	g.Go(func() error { return d.forget(ctx) })
 	g.Go(func() error {
-		settings.Watch(ctx, d.file, d.content, d.hup, d.log, d.reload)
+		settings.Watch(ctx, d.file.Name, d.file.Content, d.hup, d.log, d.reload)
 		return nil
 	})
 	g.Go(func() error {
@@ -162,7 +157,7 @@
 
 // reload takes the settings that may change while the instance runs.
 func (d *tokenDaemon) reload(b []byte) error {
-	n, err := platform.ParseNode(d.file, b)
+	n, err := platform.ParseNode(d.file.Name, b)
 	if err != nil {
 		return err
 	}
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -20,6 +20,7 @@
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/transport/clock"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
 
@@ -106,21 +107,12 @@
 		if s.updates > 0 {
 			c.log.Warn(err).Str("control", addr).Int("updates", s.updates).Msg("control instance lost")
 		}
-		wait(ctx, backoff/2+rand.N(backoff))
+		clock.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 	return nil
 }
 
-func wait(ctx context.Context, span time.Duration) {
-	t := time.NewTimer(span)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // choose returns the control instance to follow: that of the own zone, or one
 // after the other if it is to be avoided.
 func (c *Client) choose(avoidOwn bool) (addr string, own bool) {
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -34,9 +34,6 @@
 
 // Limits of what is kept.
 const (
-	// forgetAfter is how long an incarnation that is gone or silent is kept. It
-	// exceeds the age of any flow that may still name it.
-	forgetAfter = 10 * time.Minute
 	// maxEntries bounds the directory, above the planned 4,800 backend servers
 	// with a day's replacements.
 	maxEntries = 1 << 15
@@ -100,24 +97,10 @@
 	return [...]string{"ignored", "renewed", "changed"}[o]
 }
 
-// newer reports whether a replaces b, which has the same name.
-func newer(a, b *catkinrail.Incarnation) bool {
-	if a.Born != b.Born {
-		return a.Born > b.Born
-	}
-	if a.Gone != b.Gone {
-		return a.Gone
-	}
-	if a.Sequence != b.Sequence {
-		return a.Sequence > b.Sequence
-	}
-	return a.Draining && !b.Draining
-}
-
 // Report takes a report, from the backend server itself if local is set.
 func (d *Directory) Report(inc *catkinrail.Incarnation, now int64, local bool) Outcome {
 	old := d.entries[inc.Name]
-	if old != nil && !newer(inc, &old.inc) {
+	if old != nil && !inc.Newer(&old.inc) {
 		return Ignored
 	}
 	if old == nil && len(d.entries) >= maxEntries {
@@ -221,7 +204,7 @@
 	var silent []string
 	for name, e := range d.entries {
 		age := now - e.heard
-		if (e.inc.Gone || e.silent) && age > int64(forgetAfter) {
+		if (e.inc.Gone || e.silent) && age > int64(catkinrail.KeepEnded) {
 			delete(d.entries, name)
 			if d.byAddr[e.inc.Addr] == name {
 				delete(d.byAddr, e.inc.Addr)
--- a/token.go
+++ b/token.go
@@ -78,6 +78,24 @@
 	return t
 }
 
+// Newer reports whether i replaces o, which was reported under the same name.
+func (i *Incarnation) Newer(o *Incarnation) bool {
+	if i.Born != o.Born {
+		return i.Born > o.Born
+	}
+	if i.Gone != o.Gone {
+		return i.Gone
+	}
+	if i.Sequence != o.Sequence {
+		return i.Sequence > o.Sequence
+	}
+	return i.Draining && !o.Draining
+}
+
+// KeepEnded is how long an incarnation that is gone or silent is kept in mind. It
+// exceeds the age of any flow that may still name it.
+const KeepEnded = 10 * time.Minute
+
 // BackendRegistry takes what backend servers say of themselves.
 type BackendRegistry interface {
 	// Report takes a report. It returns the control instance that the backend
