gossip: count what a peer tells at its start as an exchange

The others had told it all they knew meanwhile, but only its own calls counted: the three entry instances of its zone became ready 0.19 s after the rest.

Change: a peer's whole directory counts, whoever called.

Ruled out: the crowd of callers that return, as 83 of the 142 requests that came after readiness were answered in time; the election, as 70 ms pass from the third control instance's start to the first entry instance's readiness.

Before: TestCompleteOnceAPeerHasTold fails. After: it passes.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -153,10 +153,21 @@
 	}
 	if g.Full {
 		r.All = d.dir.All(now)
+		d.exchangedWhole()
 	}
 	return r
 }
 
+// exchangedWhole notes that a peer has told its whole directory. The caller holds
+// mu.
+func (d *Directory) exchangedWhole() {
+	if d.exchanged {
+		return
+	}
+	d.exchanged = true
+	d.wake()
+}
+
 // merge takes incarnations that another instance has passed on. The caller
 // holds mu.
 func (d *Directory) merge(list []catkinrail.Incarnation, from string, now int64) {
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -98,6 +98,23 @@
 	require.True(t, view(t, p.b, "s1").Gone)
 }
 
+// TestCompleteOnceAPeerHasTold starts two instances, of which the second was not
+// reached when it started first: what it is told counts as well as what it asks
+// for.
+func TestCompleteOnceAPeerHasTold(t *testing.T) {
+	p := newPair(t)
+	p.b.managed = true
+	p.b.peers["a"] = &peer{addr: "a", full: true, member: true}
+	p.a.Report(incarnation("s1", "a", 1))
+	require.False(t, p.b.Complete())
+	_, _, changed := p.b.Since(0)
+	p.exchange()
+	require.True(t, p.a.Complete())
+	require.True(t, p.b.Complete())
+	view(t, p.b, "s1")
+	<-changed
+}
+
 func TestRenewalsKeepABackendAliveElsewhere(t *testing.T) {
 	p := newPair(t)
 	p.a.Report(incarnation("s1", "a", 1))
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -170,10 +170,7 @@
 	switch {
 	case g.Full:
 		p.full, p.differs = false, 0
-		if !d.exchanged {
-			d.exchanged = true
-			d.wake()
-		}
+		d.exchangedWhole()
 	case reply.Differs:
 		p.differs++
 		p.full = p.differs >= maxDiffers
