overload: refuse new flows while an entry instance can't keep up

Cause: an entry instance took new flows however long the packets before it had waited.

Change: coordination/overload follows whether reads leave packets waiting; after half a second of that the token engine refuses opening packets that are the first, and drops copies it hasn't seen.

--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -59,6 +59,8 @@
 	ReasonGone
 	// ReasonNoDocument is a packet before the first document.
 	ReasonNoDocument
+	// ReasonOverload is a new flow while this instance can't keep up.
+	ReasonOverload
 	numReasons
 )
 
@@ -66,7 +68,7 @@
 func (r Reason) String() string {
 	names := [numReasons]string{
 		"placed", "copy", "next", "token", "no-route", "stale", "no-backend",
-		"unknown-token", "gone", "no-document",
+		"unknown-token", "gone", "no-document", "overload",
 	}
 	if r >= numReasons {
 		return "unknown"
@@ -193,7 +195,9 @@
 	flows    map[catkinrail.FlowKey]*flow
 	// heard is the time of the last update of a control instance that is current
 	// and has told all that it knows.
-	heard      int64
+	heard int64
+	// overloaded is set while new flows are turned away.
+	overloaded bool
 	candidates []place.Candidate
 	// handshakes are the flows that may wait for their handshake, in order.
 	handshakes []handshake
@@ -250,6 +254,9 @@
 	if f := e.flows[p.Flow]; f != nil && f.seq == p.Seq && !f.backend.Gone {
 		return e.again(p, f, now)
 	}
+	if e.overloaded {
+		return e.shed(p)
+	}
 	listen := netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)
 	r := e.routes[listen]
 	if r == nil {
@@ -275,6 +282,23 @@
 	return Verdict{Action: Refuse, Reason: reason}
 }
 
+// shed turns a new flow away. A copy is dropped: the first may have been passed on
+// elsewhere.
+func (e *Engine) shed(p *catkinrail.TokenPacket) Verdict {
+	if p.Copy > 0 {
+		return Verdict{Action: Drop, Reason: ReasonOverload}
+	}
+	return Verdict{Action: Refuse, Reason: ReasonOverload}
+}
+
+// SetOverloaded says whether new flows are to be turned away, for the sake of those
+// that are open. It reports whether that is news.
+func (e *Engine) SetOverloaded(on bool) (changed bool) {
+	changed = e.overloaded != on
+	e.overloaded = on
+	return changed
+}
+
 // again decides about a copy of an opening packet.
 func (e *Engine) again(p *catkinrail.TokenPacket, f *flow, now int64) Verdict {
 	f.seen = now
--- a/coordination/token/engine_test.go
+++ b/coordination/token/engine_test.go
@@ -314,6 +314,34 @@
 	require.Zero(t, e.Flows())
 }
 
+// TestOverload turns away new flows, and only those that certainly are new.
+func TestOverload(t *testing.T) {
+	e := newEngine(backend("a", 1))
+	before := e.Decide(opening(1, 0), 0)
+	require.True(t, e.SetOverloaded(true))
+	require.False(t, e.SetOverloaded(true))
+	tests := []struct {
+		name   string
+		p      *catkinrail.TokenPacket
+		action token.Action
+		reason token.Reason
+	}{
+		{"a new flow", opening(2, 0), token.Refuse, token.ReasonOverload},
+		{"a copy, of which another instance may have passed on the first", opening(3, 1), token.Drop, token.ReasonOverload},
+		{"a copy of what was passed on here", opening(1, 1), token.Forward, token.ReasonCopy},
+		{"an open flow", data(1, before.Backend.Token(), 2, 100, 10), token.Forward, token.ReasonToken},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := e.Decide(tt.p, ms)
+			require.Equal(t, tt.action, v.Action)
+			require.Equal(t, tt.reason, v.Reason)
+		})
+	}
+	require.True(t, e.SetOverloaded(false))
+	require.Equal(t, token.ReasonPlaced, e.Decide(opening(2, 0), ms).Reason)
+}
+
 // TestEndedIncarnationsAreForgotten replays a year of releases: what is known stays
 // as large as what lives.
 func TestEndedIncarnationsAreForgotten(t *testing.T) {
--- a/entry/packet/worker.go
+++ b/entry/packet/worker.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/overload"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/entry/fabric"
 	"catkinrail.example/catkinrail/logs"
@@ -57,6 +58,7 @@
 	reasons  []metrics.Counter
 	bad      metrics.Counter
 	unsent   metrics.Counter
+	gauge    overload.Gauge
 	last     atomic.Int64
 	arena    []byte
 	verdicts []verdict
@@ -128,6 +130,10 @@
 	w.verdicts = w.verdicts[:0]
 	w.router.Do(func(e *token.Engine, now int64) {
 		w.last.Store(now)
+		overloaded := w.gauge.Read(n == udp.BatchSize, now)
+		if e.SetOverloaded(overloaded) {
+			w.log.Info().Bool("overloaded", overloaded).Int("flows", e.Flows()).Msg("overload changed")
+		}
 		for i := range n {
 			w.handle(e, i, now)
 		}
