ctl, operator: show the directory and the documents in force

Cause: catkinctl showed nothing of what routing by token runs on: operators had to read logs to learn which entry instance had which document, and which backend servers report.

Change: the call Directory, answered by any control instance with what it has, and catkinctl directory, which asks all that it is given. Streams know whom they serve and what they told.

Ruled out: asking the leader, which a minority hasn't got.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -188,10 +188,11 @@
 		Self: d.self(), Clock: clk, Log: d.log, Creds: d.creds, Group: g, Seeds: d.seeds,
 		Silent: d.cfg.SilentAfter, Members: func() *quorum.Members { return c.Snapshot().Members }, Dir: d.dir,
 	})
+	streams := follow.New(c, dir, clk, d.log)
 	mux := drpcmux.New()
 	err = errors.Join(
-		control.DRPCRegisterControl(mux, entry.New(c, dir, follow.New(c, dir, clk, d.log))),
-		api.DRPCRegisterOperator(mux, operator.New(c)),
+		control.DRPCRegisterControl(mux, entry.New(c, dir, streams)),
+		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, clk)),
 	)
 	if err != nil {
 		return err
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -3,7 +3,11 @@
 package follow
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"catkinrail.example/catkinrail"
@@ -34,18 +38,53 @@
 	feed  *feed
 	clock catkinrail.Clock
 	log   *logs.Logger
+
+	mu      sync.Mutex
+	streams map[*stream]Follower
+}
+
+// Follower is an entry instance that follows this control instance.
+type Follower struct {
+	Name string
+	Zone catkinrail.Zone
+	// Document is the version of the document that it was last told.
+	Document uint64
+	// Began is the time at which the stream began.
+	Began time.Time
 }
 
 // New returns a server.
 func New(c *core.Core, dir *gossip.Directory, clock catkinrail.Clock, log *logs.Logger) *Server {
-	return &Server{core: c, dir: dir, feed: newFeed(dir), clock: clock, log: log}
+	return &Server{core: c, dir: dir, feed: newFeed(dir), clock: clock, log: log, streams: map[*stream]Follower{}}
+}
+
+// Followers returns the entry instances that follow, in order of their names.
+func (s *Server) Followers() []Follower {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := slices.Collect(maps.Values(s.streams))
+	slices.SortFunc(list, func(a, b Follower) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// note keeps what is known of a stream's entry instance.
+func (s *Server) note(x *stream, f Follower) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[x] = f
+}
+
+func (s *Server) end(x *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.streams, x)
 }
 
 // stream is what one entry instance has been told.
 type stream struct {
 	*Server
+	Follower
 	send     func(body []byte) error
-	document uint64
 	revision uint64
 	members  *quorum.Members
 	current  bool
@@ -55,7 +94,10 @@
 // Serve sends updates until ctx ends or send fails.
 func (s *Server) Serve(ctx context.Context, req *message.FollowRequest, send func(body []byte) error) error {
 	s.log.Info().Str("entry", req.Name).Str("zone", string(req.Zone)).Uint64("document", req.Document).Msg("entry instance follows")
-	x := &stream{Server: s, send: send, document: req.Document}
+	x := &stream{Server: s, send: send}
+	x.Follower = Follower{Name: req.Name, Zone: req.Zone, Document: req.Document, Began: s.clock.Now()}
+	s.note(x, x.Follower)
+	defer s.end(x)
 	beat := time.NewTicker(keepAlive)
 	defer beat.Stop()
 	due := true
@@ -85,7 +127,7 @@
 		case <-advanced:
 			advanced = x.core.Advanced()
 			snap := x.core.Snapshot()
-			if version(snap) <= x.document && snap.Members == x.members {
+			if version(snap) <= x.Document && snap.Members == x.members {
 				continue
 			}
 		}
@@ -99,6 +141,13 @@
 	}
 }
 
+// InTouch reports whether this control instance knows all that its leader has
+// committed.
+func (s *Server) InTouch() bool {
+	synced := s.core.Synced()
+	return synced > 0 && s.clock.Now().UnixNano()-synced < int64(currentSpan)
+}
+
 func version(s *core.Snapshot) uint64 {
 	if s.Document == nil {
 		return 0
@@ -111,11 +160,10 @@
 // has it all.
 func (x *stream) update(due bool) (<-chan struct{}, error) {
 	now := x.clock.Now().UnixNano()
-	synced := x.core.Synced()
+	current := x.InTouch()
 	snap := x.core.Snapshot()
-	current := synced > 0 && now-synced < int64(currentSpan)
 	complete := x.dir.Complete()
-	if v := version(snap); v > x.document && current {
+	if v := version(snap); v > x.Document && current {
 		body, err := x.feed.encodeDocument(snap.Document)
 		if err != nil {
 			return nil, err
@@ -123,7 +171,8 @@
 		if err := x.send(body); err != nil {
 			return nil, err
 		}
-		x.document = v
+		x.Document = v
+		x.note(x, x.Follower)
 	}
 	changed, err := x.sendBackends(now)
 	if err != nil {
--- /dev/null
+++ b/control/operator/directory.go
@@ -0,0 +1,57 @@
+package operator
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"catkinrail.example/catkinrail/protocol/api"
+	"catkinrail.example/catkinrail/state/directory"
+	"catkinrail.example/catkinrail/transport/rpc"
+)
+
+// Directory implements api.DRPCOperatorServer. It doesn't ask the leader, so that it
+// also answers in a minority.
+func (s *Server) Directory(ctx context.Context, _ *api.Empty) (*api.DirectoryReply, error) {
+	if err := rpc.RequireRole(ctx, rpc.RoleOperator); err != nil {
+		return nil, coded(err)
+	}
+	now := s.clock.Now()
+	reply := &api.DirectoryReply{Control: s.name, Current: s.follow.InTouch()}
+	if d := s.core.Snapshot().Document; d != nil {
+		reply.DocumentVersion = d.Version
+	}
+	list, _, _ := s.dir.Since(0)
+	for i := range list {
+		reply.BackendServers = append(reply.BackendServers, describeReporting(&list[i], now))
+	}
+	slices.SortFunc(reply.BackendServers, func(a, b *api.ReportingServer) int {
+		return strings.Compare(a.Service+"\x00"+a.Name, b.Service+"\x00"+b.Name)
+	})
+	for _, f := range s.follow.Followers() {
+		reply.Followers = append(reply.Followers, &api.Follower{
+			Name: f.Name, Zone: string(f.Zone), DocumentVersion: f.Document, AgeMs: now.Sub(f.Began).Milliseconds(),
+		})
+	}
+	return reply, nil
+}
+
+func describeReporting(v *directory.View, now time.Time) *api.ReportingServer {
+	return &api.ReportingServer{
+		Name: v.Name, Service: v.Service, Zone: string(v.Zone), Address: v.Addr.String(), Slots: uint32(v.Slots),
+		State: reportingState(v), Born: v.Born, Sequence: v.Sequence, AgeMs: now.Sub(time.Unix(0, v.Heard)).Milliseconds(),
+	}
+}
+
+func reportingState(v *directory.View) string {
+	switch {
+	case v.Gone:
+		return "gone"
+	case v.Silent:
+		return "silent"
+	case v.Draining:
+		return "draining"
+	}
+	return "ready"
+}
--- a/control/operator/server.go
+++ b/control/operator/server.go
@@ -12,6 +12,8 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/core"
+	"catkinrail.example/catkinrail/control/follow"
+	"catkinrail.example/catkinrail/control/gossip"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/protocol/api"
 	"catkinrail.example/catkinrail/state/cluster"
@@ -20,12 +22,17 @@
 
 // Server implements the Operator calls.
 type Server struct {
-	core *core.Core
+	name   string
+	core   *core.Core
+	dir    *gossip.Directory
+	follow *follow.Server
+	clock  catkinrail.Clock
 }
 
-// New returns a server on top of the core.
-func New(c *core.Core) *Server {
-	return &Server{core: c}
+// New returns a server on top of the core, the directory and the streams of the
+// control instance with the given name.
+func New(name string, c *core.Core, dir *gossip.Directory, f *follow.Server, clock catkinrail.Clock) *Server {
+	return &Server{name: name, core: c, dir: dir, follow: f, clock: clock}
 }
 
 var _ api.DRPCOperatorServer = (*Server)(nil)
--- a/ctl/commands/commands.go
+++ b/ctl/commands/commands.go
@@ -59,7 +59,7 @@
 	backendList, backendDrain, backendReadmit,
 	instanceList, instanceRemove,
 	zoneLost, zoneRestored,
-	status, watch, outcome, burnReport, checkSettings, explainFlow,
+	status, directory, watch, outcome, burnReport, checkSettings, explainFlow,
 }
 
 // offline names the commands that need no control instance.
--- a/ctl/control/client.go
+++ b/ctl/control/client.go
@@ -76,6 +76,23 @@
 	return last
 }
 
+// Each makes the call at every control instance. It returns the errors of those that
+// didn't answer, and fails if none did.
+func (c *Client) Each(ctx context.Context, step string, f func(context.Context, api.DRPCOperatorClient) error) (missing []error, err error) {
+	for _, cl := range c.clients {
+		err := cl.Call(ctx, step, min(attemptTimeout, c.timeout), func(ctx context.Context, conn drpc.Conn) error {
+			return f(ctx, api.NewDRPCOperatorClient(conn))
+		})
+		if err != nil {
+			missing = append(missing, err)
+		}
+	}
+	if len(missing) == len(c.clients) {
+		return nil, errors.Join(missing...)
+	}
+	return missing, nil
+}
+
 // neverSent reports whether the call failed before it reached the peer.
 func neverSent(err error) bool {
 	text := err.Error()
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -15,6 +15,7 @@
 run=${pid_of[platform-run]}
 
 sleep 4
+"$bin/catkinctl" --trusted-network -c "127.$net.1.100:7720" -c "127.$net.2.100:7720" -c "127.$net.3.100:7720" directory
 echo "loss: front-1-1 killed"
 signal front-1-1 KILL
 sleep 1.5
