ctl: report from log files what callers got

Change: catkinctl report counts new flows, refusals, repeated openings and drops by second, with burn rates and the events of the worst seconds, as text, JSON or a page with a plot. Reading log files is a package of its own, shared with explain.

--- a/ctl/commands/burn_page.go
+++ b/ctl/commands/burn_page.go
@@ -70,11 +70,16 @@
 			page.Height += barHeight + barGap
 		}
 	}
+	return writePage(file, burnTemplate, page)
+}
+
+// writePage writes a page to a file.
+func writePage(file string, t *template.Template, page any) error {
 	f, err := os.Create(file)
 	if err != nil {
 		return err
 	}
-	if err := burnTemplate.Execute(f, page); err != nil {
+	if err := t.Execute(f, page); err != nil {
 		f.Close()
 		return err
 	}
--- a/ctl/commands/commands.go
+++ b/ctl/commands/commands.go
@@ -59,11 +59,11 @@
 	backendList, backendDrain, backendReadmit,
 	instanceList, instanceRemove,
 	zoneLost, zoneRestored,
-	status, directory, watch, outcome, burnReport, checkSettings, explainFlow,
+	status, directory, watch, outcome, burnReport, checkSettings, explainFlow, logReport,
 }
 
 // offline names the commands that need no control instance.
-var offline = map[string]bool{"check": true, "explain": true}
+var offline = map[string]bool{"check": true, "explain": true, "report": true}
 
 // New returns the command line with all commands.
 func New(out, errOut io.Writer) *App {
--- a/ctl/commands/explain.go
+++ b/ctl/commands/explain.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"text/tabwriter"
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/ctl/explain"
+	"catkinrail.example/catkinrail/ctl/logfile"
 )
 
 // explainTime is how the times of lines are printed.
@@ -20,18 +20,9 @@
 	files := c.Arg("log", "Log file of an instance; give those of all.").Required().ExistingFiles()
 	span := c.Flag("span", "How far before and after the flow to look for changes.").Default("10s").Duration()
 	a.runs[c.FullCommand()] = func(context.Context) error {
-		var lines []explain.Line
-		for _, name := range *files {
-			f, err := os.Open(name)
-			if err != nil {
-				return catkinrail.At(err, "read log", name)
-			}
-			list, err := explain.Read(f)
-			f.Close()
-			if err != nil {
-				return catkinrail.At(err, "read log", name)
-			}
-			lines = append(lines, list...)
+		lines, err := logfile.ReadFiles(*files)
+		if err != nil {
+			return err
 		}
 		found, err := explain.Explain(lines, *caller, *span)
 		if err != nil {
--- a/ctl/explain/explain_test.go
+++ b/ctl/explain/explain_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail/ctl/explain"
+	"catkinrail.example/catkinrail/ctl/logfile"
 )
 
 const log = `
@@ -24,7 +25,7 @@
 `
 
 func TestExplain(t *testing.T) {
-	lines, err := explain.Read(strings.NewReader(log))
+	lines, err := logfile.Read(strings.NewReader(log))
 	require.NoError(t, err)
 	require.Len(t, lines, 8)
 	tests := []struct {
--- /dev/null
+++ b/ctl/report/report.go
@@ -0,0 +1,168 @@
+// Package report counts from log files what callers got, second by second.
+package report
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"catkinrail.example/catkinrail/coordination/token"
+	"catkinrail.example/catkinrail/ctl/logfile"
+)
+
+// Objective is the share of new flows, in millionths, that may be served badly.
+type Objective struct {
+	// Refused is for flows that were refused.
+	Refused uint64
+	// Repeated is for flows whose opening packet was left unanswered, so that they
+	// were late by the time after which callers send a copy.
+	Repeated uint64
+}
+
+// Counts are those of a span.
+type Counts struct {
+	// Flows is the number of new flows that were placed or refused, other than those
+	// without a route.
+	Flows uint64 `json:"flows"`
+	// Repeated is the number of flows whose opening packet came again.
+	Repeated uint64 `json:"repeated"`
+	// Refused is the number of flows that were refused although a route exists.
+	Refused uint64 `json:"refused"`
+	// NoRoute is the number of flows that no route of the document allowed.
+	NoRoute uint64 `json:"no_route"`
+	// Dropped is the number of packets that went nowhere.
+	Dropped uint64 `json:"dropped"`
+	// Skipped is the number of lines that the logs left out.
+	Skipped uint64 `json:"skipped"`
+	// Reasons are the numbers of refused flows and dropped packets by reason.
+	Reasons map[string]uint64 `json:"reasons,omitempty"`
+}
+
+// Bad is the number of flows that were refused or late, and of packets that went
+// nowhere.
+func (c *Counts) Bad() uint64 {
+	return c.Refused + c.Repeated + c.Dropped
+}
+
+// Event is a change of what an instance believes.
+type Event struct {
+	Time     time.Time `json:"time"`
+	Instance string    `json:"instance"`
+	Message  string    `json:"message"`
+	Text     string    `json:"text"`
+}
+
+// Second is a second of the logs.
+type Second struct {
+	Counts
+	Time   time.Time `json:"time"`
+	Events []Event   `json:"events,omitempty"`
+}
+
+// Report is what the logs tell.
+type Report struct {
+	Total Counts `json:"total"`
+	// RefusedBurn and RepeatedBurn are the shares of such flows over those that the
+	// objective allows: 1 uses the budget up exactly.
+	RefusedBurn  float64  `json:"refused_burn"`
+	RepeatedBurn float64  `json:"repeated_burn"`
+	Seconds      []Second `json:"seconds"`
+}
+
+// events are the messages that are listed beside the counts.
+var events = []string{
+	"started", "leaving", "shut down", "ready", "overload changed", "document in force", "leader changed",
+	"members changed", "backend servers silent", "control instance lost", "control instance is out of touch",
+	"process was held up", "settings reloaded", "settings not reloaded",
+}
+
+// New returns the report on the lines.
+func New(lines []logfile.Line, o Objective) *Report {
+	r := &Report{}
+	seconds := map[int64]*Second{}
+	at := func(t time.Time) *Second {
+		s := seconds[t.Unix()]
+		if s == nil {
+			s = &Second{Time: t.Truncate(time.Second)}
+			seconds[t.Unix()] = s
+		}
+		return s
+	}
+	for i := range lines {
+		l := &lines[i]
+		switch {
+		case l.Message == logfile.MessageFlow:
+			at(l.Time).add(l)
+			r.Total.add(l)
+		case slices.Contains(events, l.Message):
+			s := at(l.Time)
+			s.Events = append(s.Events, Event{Time: l.Time, Instance: l.Instance, Message: l.Message, Text: l.Text})
+		}
+	}
+	for _, s := range seconds {
+		slices.SortStableFunc(s.Events, func(a, b Event) int { return a.Time.Compare(b.Time) })
+		r.Seconds = append(r.Seconds, *s)
+	}
+	slices.SortFunc(r.Seconds, func(a, b Second) int { return a.Time.Compare(b.Time) })
+	r.RefusedBurn = burn(r.Total.Refused, r.Total.Flows, o.Refused)
+	r.RepeatedBurn = burn(r.Total.Repeated, r.Total.Flows, o.Repeated)
+	return r
+}
+
+// add counts a decision.
+func (c *Counts) add(l *logfile.Line) {
+	c.Skipped += l.Skipped
+	switch l.Action {
+	case token.Forward.String():
+		if l.Copy == 0 {
+			c.Flows++
+		}
+		if l.Copy == 1 {
+			c.Repeated++
+		}
+		return
+	case token.Refuse.String():
+		if l.Reason == token.ReasonNoRoute.String() {
+			c.NoRoute++
+			return
+		}
+		c.Flows++
+		c.Refused++
+	default:
+		c.Dropped++
+	}
+	if c.Reasons == nil {
+		c.Reasons = map[string]uint64{}
+	}
+	c.Reasons[l.Reason]++
+}
+
+// burn returns the share of bad flows over the allowed one.
+func burn(bad, flows, allowed uint64) float64 {
+	const million = 1e6
+	if flows == 0 || allowed == 0 {
+		return 0
+	}
+	return float64(bad) / float64(flows) * million / float64(allowed)
+}
+
+// Worst returns the n seconds that were worst for callers, worst first; only those in
+// which any was served badly.
+func (r *Report) Worst(n int) []Second {
+	list := slices.DeleteFunc(slices.Clone(r.Seconds), func(s Second) bool { return s.Bad() == 0 })
+	slices.SortStableFunc(list, func(a, b Second) int { return cmp.Compare(b.Bad(), a.Bad()) })
+	return list[:min(n, len(list))]
+}
+
+// ReasonText lists the reasons, most frequent first.
+func (c *Counts) ReasonText() string {
+	names := make([]string, 0, len(c.Reasons))
+	for name := range c.Reasons {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(c.Reasons[b], c.Reasons[a]), strings.Compare(a, b))
+	})
+	return strings.Join(names, ", ")
+}
