follow: go on where a stream ended; be patient in a cut-off zone

Change: a stream to the process that told last goes on after what it told; and once all control instances have been tried twice without one in touch, each is given more time, up to 1.6 s.

Ruled out: resuming after another control instance told something, since what each observes of silence would be mixed up.

Before: TestPatienceGrows counts 150 streams in 30 s. After: 30 at the most.

--- a/control/follow/feed_test.go
+++ b/control/follow/feed_test.go
@@ -102,3 +102,23 @@
 	require.NoError(t, err)
 	require.Equal(t, uint64(4), decode(t, next).Document.Version)
 }
+
+// TestResume tells an entry instance that comes back only what has changed, unless
+// the process is another one.
+func TestResume(t *testing.T) {
+	d := newDirectory()
+	s := New(nil, d, clock.New(), logs.Discard())
+	d.Report(incarnation(0, 1, false))
+	d.Report(incarnation(1, 1, false))
+	first, _, err := s.feed.next(0, 0)
+	require.NoError(t, err)
+	require.Len(t, decode(t, first.body).Backends, 2)
+	d.Report(incarnation(1, 2, true))
+	again, _, err := s.feed.next(s.resume(message.ResumePoint{Process: s.process, Revision: first.to}), 1)
+	require.NoError(t, err)
+	changed := decode(t, again.body).Backends
+	require.Len(t, changed, 1)
+	require.True(t, changed[0].Draining)
+	require.Zero(t, s.resume(message.ResumePoint{Process: s.process + 1, Revision: first.to}))
+	require.Zero(t, s.resume(message.ResumePoint{}))
+}
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	feed  *feed
 	clock catkinrail.Clock
 	log   *logs.Logger
+	// process tells this process from earlier ones at the same address.
+	process uint64
 
 	mu      sync.Mutex
 	streams map[*stream]Follower
@@ -55,7 +58,7 @@
 
 // New returns a server.
 func New(c *core.Core, dir *gossip.Directory, clock catkinrail.Clock, log *logs.Logger) *Server {
-	return &Server{core: c, dir: dir, feed: newFeed(dir), clock: clock, log: log, streams: map[*stream]Follower{}}
+	return &Server{core: c, dir: dir, feed: newFeed(dir), clock: clock, log: log, process: rand.Uint64(), streams: map[*stream]Follower{}}
 }
 
 // Followers returns the entry instances that follow, in order of their names.
@@ -93,8 +96,9 @@
 
 // Serve sends updates until ctx ends or send fails.
 func (s *Server) Serve(ctx context.Context, req *message.FollowRequest, send func(body []byte) error) error {
-	s.log.Info().Str("entry", req.Name).Str("zone", string(req.Zone)).Uint64("document", req.Document).Msg("entry instance follows")
-	x := &stream{Server: s, send: send}
+	x := &stream{Server: s, send: send, revision: s.resume(req.Resume)}
+	s.log.Info().Str("entry", req.Name).Str("zone", string(req.Zone)).Uint64("document", req.Document).
+		Uint64("revision", x.revision).Msg("entry instance follows")
 	x.Follower = Follower{Name: req.Name, Zone: req.Zone, Document: req.Document, Began: s.clock.Now()}
 	s.note(x, x.Follower)
 	defer s.end(x)
@@ -114,6 +118,14 @@
 	}
 }
 
+// resume returns the revision from which a stream goes on; zero for the beginning.
+func (s *Server) resume(p message.ResumePoint) uint64 {
+	if p.Process != s.process {
+		return 0
+	}
+	return p.Revision
+}
+
 // wait returns when there may be something to tell, and whether a sign of life is
 // due. An advance of the log that changes nothing for an entry instance is none.
 func (x *stream) wait(ctx context.Context, advanced, changed <-chan struct{}, beat <-chan time.Time) (due bool, err error) {
@@ -202,6 +214,7 @@
 // sendState sends the sender's own state.
 func (x *stream) sendState(snap *core.Snapshot) error {
 	u := &message.FollowUpdate{Current: x.current, Complete: x.complete, State: true}
+	u.Resume = message.ResumePoint{Process: x.process, Revision: x.revision}
 	if snap.Members != x.members {
 		x.members = snap.Members
 		for _, id := range cluster.SortedKeys(snap.Members.Nodes) {
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -125,6 +125,18 @@
 	Zone catkinrail.Zone `cbor:"2,keyasint,omitempty"`
 	// Document is the version of the document that the entry instance has.
 	Document uint64 `cbor:"3,keyasint,omitempty"`
+	// Resume is what the last stream told, if it came from the same address.
+	Resume ResumePoint `cbor:"4,keyasint,omitempty"`
+}
+
+// ResumePoint is a point in what a control instance tells, from which another stream
+// can go on.
+type ResumePoint struct {
+	// Process is the random number of the control instance's process, and zero if
+	// there is no such point: revisions count from its start.
+	Process uint64 `cbor:"1,keyasint,omitempty"`
+	// Revision is that of the last change that was told.
+	Revision uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // FollowedBackend is an incarnation with what control has observed of it.
@@ -149,4 +161,6 @@
 	// Complete says that the sender's directory, which has been sent, holds what
 	// the other control instances knew when it started.
 	Complete bool `cbor:"5,keyasint,omitempty"`
+	// Resume is the point up to which this stream has told everything.
+	Resume ResumePoint `cbor:"7,keyasint,omitempty"`
 }
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -36,6 +36,9 @@
 	// stream began, and before the first document: another one is likely to be, and
 	// several that are not must not use up the bound on a change together.
 	staleFirst = 200 * time.Millisecond
+	// maxStaleFirst bounds staleFirst while no control instance is in touch: below the
+	// time for which an instance must be connected until bounds hold for it again.
+	maxStaleFirst = 1600 * time.Millisecond
 	// returnAfter is the time after which the control instance of the own zone is
 	// tried again.
 	returnAfter = 5 * time.Second
@@ -64,6 +67,12 @@
 	at int
 	// ownLeft is the time at which the last stream from the own zone ended.
 	ownLeft time.Time
+	// resume is where the last stream ended, at the address that it came from.
+	resume     message.ResumePoint
+	resumeAddr string
+	// untouched is the number of streams in a row from control instances that never
+	// were in touch with a leader.
+	untouched int
 }
 
 // New returns a client that finds control through the seeds.
@@ -95,6 +104,7 @@
 		addr, own = c.choose(own)
 		s := &session{client: c, addr: addr, own: own}
 		err := s.run(ctx)
+		c.ended(s)
 		if own {
 			c.leftOwn()
 		}
@@ -113,6 +123,53 @@
 	return nil
 }
 
+// ended notes how a stream ended.
+func (c *Client) ended(s *session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case s.touched:
+		c.untouched = 0
+	case s.updates > 0:
+		c.untouched++
+	}
+}
+
+// staleFirst returns how long a control instance may be out of touch that was not in
+// touch since the stream began. It grows once all have been tried twice: then this
+// instance is cut off with those that it reaches, and streams that begin anew all the
+// time would only keep them busy.
+func (c *Client) staleFirst() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	const maxDoublings = 10
+	rounds := c.untouched / max(1, 2*(len(c.peers)+len(c.seeds)))
+	return min(staleFirst<<min(rounds, maxDoublings), maxStaleFirst)
+}
+
+// resumeAt returns where a stream from the address can go on.
+func (c *Client) resumeAt(addr string) message.ResumePoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr != c.resumeAddr {
+		return message.ResumePoint{}
+	}
+	return c.resume
+}
+
+// told notes how far a stream has come. What one control instance has observed
+// replaces what another has, so that only the last stream can go on.
+func (c *Client) told(addr string, u *message.FollowUpdate) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr != c.resumeAddr {
+		c.resumeAddr, c.resume = addr, message.ResumePoint{}
+	}
+	if u.State {
+		c.resume = u.Resume
+	}
+}
+
 // choose returns the control instance to follow: that of the own zone, or one
 // after the other if it is to be avoided.
 func (c *Client) choose(avoidOwn bool) (addr string, own bool) {
@@ -203,7 +260,7 @@
 	return cl.Call(ctx, "follow", streamTimeout, func(ctx context.Context, conn drpc.Conn) error {
 		var have uint64
 		s.client.router.Do(func(e *token.Engine, _ int64) { have = e.Version() })
-		body, err := cluster.Encode(&message.FollowRequest{Name: s.client.name, Zone: s.client.zone, Document: have})
+		body, err := cluster.Encode(&message.FollowRequest{Name: s.client.name, Zone: s.client.zone, Document: have, Resume: s.client.resumeAt(s.addr)})
 		if err != nil {
 			return err
 		}
@@ -233,7 +290,7 @@
 // patience is how long the next update may take.
 func (s *session) patience() time.Duration {
 	if s.client.Ready() && !s.touched {
-		return staleFirst
+		return s.client.staleFirst()
 	}
 	return silentAfter
 }
@@ -243,7 +300,7 @@
 	now := s.client.clock.Now()
 	patience := staleAfter
 	if !s.client.Ready() || !s.touched {
-		patience = staleFirst
+		patience = s.client.staleFirst()
 	}
 	if now.Sub(s.current) > patience {
 		s.client.log.Info().Str("control", s.addr).Dur("age", now.Sub(s.current)).Msg("control instance is out of touch")
@@ -264,6 +321,7 @@
 		s.updates++
 	}
 	c.setPeers(u.Peers)
+	c.told(s.addr, u)
 	if u.Current {
 		s.current, s.touched = c.clock.Now(), true
 	}
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -118,6 +118,56 @@
 	require.Less(t, staleAfter+keepAlive+3*(staleFirst+maxBackoff), 3*time.Second)
 }
 
+// TestPatienceGrows replays a cut-off zone, in which the only control instance that
+// is reached is never in touch: each stream takes the whole time that it's given.
+func TestPatienceGrows(t *testing.T) {
+	c, _ := newClient("a", "s:1")
+	c.setPeers([]quorum.Peer{{Addr: "a:1", Zone: "a"}})
+	cut := &session{client: c, updates: 1}
+	streams := 0
+	for began := time.Duration(0); began < 30*time.Second; began += c.staleFirst() {
+		c.ended(cut)
+		streams++
+	}
+	require.LessOrEqual(t, streams, 30, "150 with a patience that stays")
+	require.Equal(t, maxStaleFirst, c.staleFirst())
+	c.ended(&session{client: c})
+	require.Equal(t, maxStaleFirst, c.staleFirst(), "one that was not reached tells nothing")
+	c.ended(&session{client: c, updates: 1, touched: true})
+	require.Equal(t, staleFirst, c.staleFirst())
+}
+
+// TestResume goes on where the last stream ended, if it came from the same address.
+func TestResume(t *testing.T) {
+	point := message.ResumePoint{Process: 9, Revision: 12}
+	state := &message.FollowUpdate{State: true, Resume: point}
+	type update struct {
+		addr string
+		u    *message.FollowUpdate
+	}
+	tests := []struct {
+		name    string
+		updates []update
+		want    message.ResumePoint
+	}{
+		{"nothing told", nil, message.ResumePoint{}},
+		{"another address", []update{{"b:1", state}}, message.ResumePoint{}},
+		{"told", []update{{"a:1", state}}, point},
+		{"more was told, but not up to which point", []update{{"a:1", state}, {"a:1", &message.FollowUpdate{}}}, point},
+		{"another one told something since", []update{{"a:1", state}, {"b:1", &message.FollowUpdate{}}}, message.ResumePoint{}},
+		{"and this one began anew", []update{{"a:1", state}, {"b:1", state}, {"a:1", &message.FollowUpdate{}}}, message.ResumePoint{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, _ := newClient("a", "s:1")
+			for _, u := range tt.updates {
+				c.told(u.addr, u.u)
+			}
+			require.Equal(t, tt.want, c.resumeAt("a:1"))
+		})
+	}
+}
+
 func TestSilencePatience(t *testing.T) {
 	tests := []struct {
 		ready, touched bool
