plan: forget backend servers that are gone

Cause: nothing ever removed a life of a backend server from the agreed state, so that it grew with each restart and each release; BackendRemoved was applied but never proposed.

Change: the leader's planner removes a life that has been gone for ten minutes and that no bucket names. One that an operator drained stays until its next life is there, which the drain goes over to.

Ruled out: removing at once, since an announcement that is still under way would bring the life back, and records may name it.

--- a/coordination/plan/planner.go
+++ b/coordination/plan/planner.go
@@ -65,6 +65,8 @@
 	waiting map[catkinrail.ServiceID]time.Time
 	// warming is the time since which a cold backend server has its weight.
 	warming map[catkinrail.BackendID]time.Time
+	// gone is the time since which a backend server is gone.
+	gone map[catkinrail.BackendID]time.Time
 	// viewWanted is the time since which a planned change of view waits.
 	viewWanted time.Time
 	// expired is the time at which an instance was first seen without a lease.
@@ -87,6 +89,7 @@
 		waiting:    map[catkinrail.ServiceID]time.Time{},
 		expired:    map[catkinrail.InstanceID]time.Time{},
 		warming:    map[catkinrail.BackendID]time.Time{},
+		gone:       map[catkinrail.BackendID]time.Time{},
 	}
 }
 
@@ -119,6 +122,7 @@
 		p.warmUp(d, now)
 	}
 	p.release(d)
+	p.forgetGone(d, now)
 	return d.events
 }
 
