--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,10 @@
 	GOWORK=off go run $(LINT) version >/dev/null
 	@set -e; for m in $(MODULES); do echo "lint $$m"; (cd $$m && GOFLAGS=-buildvcs=false go run $(LINT) run ./...); done
 
+.PHONY: man
+man: build ## Write the manual pages to docs/man.
+	./scripts/man.sh
+
 .PHONY: format
 format: ## Format every module.
 	@set -e; for m in $(MODULES); do (cd $$m && go run $(LINT) fmt ./...); done
