testseed: fix the seeds of all property tests in one place

Change: testseed.Main, used by all eleven. control/follow keeps what is known of followers in a file of its own.

Before: rapid's seed was the time in coordination/place, coordination/token, control/core, control/follow, state/directory. After: 1 in all.

--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -3,11 +3,8 @@
 package follow
 
 import (
-	"cmp"
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +15,7 @@
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/transport/clock"
 )
 
 // Timing of the stream.
@@ -46,43 +44,11 @@
 	streams map[*stream]Follower
 }
 
-// Follower is an entry instance that follows this control instance.
-type Follower struct {
-	Name string
-	Zone catkinrail.Zone
-	// Document is the version of the document that it was last told.
-	Document uint64
-	// Began is the time at which the stream began.
-	Began time.Time
-}
-
 // New returns a server.
 func New(c *core.Core, dir *gossip.Directory, clock catkinrail.Clock, log *logs.Logger) *Server {
 	return &Server{core: c, dir: dir, feed: newFeed(dir), clock: clock, log: log, process: rand.Uint64(), streams: map[*stream]Follower{}}
 }
 
-// Followers returns the entry instances that follow, in order of their names.
-func (s *Server) Followers() []Follower {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := slices.Collect(maps.Values(s.streams))
-	slices.SortFunc(list, func(a, b Follower) int { return cmp.Compare(a.Name, b.Name) })
-	return list
-}
-
-// note keeps what is known of a stream's entry instance.
-func (s *Server) note(x *stream, f Follower) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.streams[x] = f
-}
-
-func (s *Server) end(x *stream) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.streams, x)
-}
-
 // stream is what one entry instance has been told.
 type stream struct {
 	*Server
@@ -96,12 +62,14 @@
 
 // Serve sends updates until ctx ends or send fails.
 func (s *Server) Serve(ctx context.Context, req *message.FollowRequest, send func(body []byte) error) error {
-	x := &stream{Server: s, send: send, revision: s.resume(req.Resume)}
+	x := &stream{
+		Server: s, send: send, revision: s.resume(req.Resume),
+		Follower: Follower{Name: req.Name, Zone: req.Zone, Document: req.Document, Began: s.clock.Now()},
+	}
 	s.log.Info().Str("entry", req.Name).Str("zone", string(req.Zone)).Uint64("document", req.Document).
 		Uint64("revision", x.revision).Msg("entry instance follows")
-	x.Follower = Follower{Name: req.Name, Zone: req.Zone, Document: req.Document, Began: s.clock.Now()}
-	s.note(x, x.Follower)
-	defer s.end(x)
+	x.note()
+	defer x.end()
 	if err := x.hello(); err != nil {
 		return err
 	}
@@ -156,12 +124,7 @@
 				continue
 			}
 		}
-		t := time.NewTimer(settleTime)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		clock.Sleep(ctx, settleTime)
 		return false, ctx.Err()
 	}
 }
@@ -197,7 +160,7 @@
 			return nil, err
 		}
 		x.Document = v
-		x.note(x, x.Follower)
+		x.note()
 	}
 	changed, err := x.sendBackends(now)
 	if err != nil {
--- a/coordination/route/main_test.go
+++ b/coordination/route/main_test.go
@@ -1,18 +1,13 @@
 package route_test
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"catkinrail.example/catkinrail/testseed"
 )
 
-// TestMain fixes the seed and number of random runs, so that every run gives the
-// same verdict. Flags on the command line override both.
+// TestMain fixes the seed of the property tests, whose runs take about a second each.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "20"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	os.Exit(testseed.Main(m, 20))
 }
