follow: more time for a first word once nobody was heard

Change: once all control instances have been tried without a word, each gets a second again.

Before: TestPatienceOnASlowLink fails. After: it passes.

--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -72,6 +72,8 @@
 	// untouched is the number of streams in a row from control instances that never
 	// were in touch with a leader.
 	untouched int
+	// unheard is the number of streams in a row on which nothing came.
+	unheard int
 }
 
 // New returns a client that finds control through the seeds.
@@ -126,6 +128,10 @@
 func (c *Client) ended(s *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.unheard++
+	if s.heard {
+		c.unheard = 0
+	}
 	switch {
 	case s.touched:
 		c.untouched = 0
@@ -134,6 +140,17 @@
 	}
 }
 
+// helloAfter returns how long a control instance may say nothing at first. Once all
+// have been tried, it may be the way there that is slow.
+func (c *Client) helloAfter() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unheard >= max(len(c.peers), len(c.seeds)) {
+		return silentAfter
+	}
+	return helloAfter
+}
+
 // staleFirst returns how long a control instance may be out of touch that was not in
 // touch since the stream began. It grows once all have been tried twice: then this
 // instance is cut off with those that it reaches, and streams that begin anew all the
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -137,6 +137,21 @@
 	require.Equal(t, staleFirst, c.staleFirst())
 }
 
+// TestPatienceOnASlowLink replays an entry instance whose own link is slow: once none
+// of the control instances was heard in time, each gets more.
+func TestPatienceOnASlowLink(t *testing.T) {
+	c, _ := newClient("a", "s:1", "s:2")
+	c.synced.Store(true)
+	for range 2 {
+		s := &session{client: c}
+		require.Equal(t, helloAfter, s.patience())
+		c.ended(s)
+	}
+	require.Equal(t, silentAfter, (&session{client: c}).patience())
+	c.ended(&session{client: c, heard: true})
+	require.Equal(t, helloAfter, (&session{client: c}).patience())
+}
+
 // TestResume goes on where the last stream ended, if it came from the same address.
 func TestResume(t *testing.T) {
 	point := message.ResumePoint{Process: 9, Revision: 12}
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -75,7 +75,7 @@
 	case !s.client.Ready():
 		return silentAfter
 	case !s.heard:
-		return helloAfter
+		return s.client.helloAfter()
 	case s.updates > 0 && !s.touched:
 		return s.client.staleFirst()
 	}
