plan: look again later at backend servers that are kept

Cause: found in the read-through: a drained backend server that is gone stays due, so that 64 of them kept all others in the state, and every step counted the buckets of all services again.

Ruled out: leaving them out of the bound, which leaves the repeated count.

Before: TestKeptServersHoldUpNothing keeps 131 of 101. After: it passes.

--- a/coordination/plan/forget.go
+++ b/coordination/plan/forget.go
@@ -35,6 +35,8 @@
 	for _, b := range due {
 		last := d.state.BackendByName(b.Service, b.Name) == b
 		if named[b.ID] || (b.Drained && last) {
+			// It is looked at again after as long, not at each step.
+			p.gone[b.ID] = now
 			continue
 		}
 		delete(p.gone, b.ID)
--- a/coordination/plan/forget_test.go
+++ b/coordination/plan/forget_test.go
@@ -36,3 +36,28 @@
 	require.Equal(t, catkinrail.BackendDraining, byName("host-1").State, "an operator's drain lasts")
 	checkBalance(t, w.state, w.service())
 }
+
+// TestKeptServersHoldUpNothing drains more servers than one change removes, and ends
+// them before others: those that are kept must not keep the others.
+func TestKeptServersHoldUpNothing(t *testing.T) {
+	const drained, others = 100, 30
+	w := newWorld(t)
+	w.register("entry-1", "kochi")
+	id := func(name string) catkinrail.BackendID { return w.state.BackendByName(w.service().ID, name).ID }
+	var ended []catkinrail.BackendID
+	for i := range drained + others {
+		name := fmt.Sprint("host-", i)
+		w.announce(announcement(name, 1, 1))
+		if i < drained {
+			w.command(&plan.Command{Drain: &plan.BackendRef{Service: logbook, Name: name}})
+		}
+		ended = append(ended, id(name))
+	}
+	w.announce(announcement("last", 1, 1))
+	w.settle(3 * time.Second)
+	w.apply(plan.Expire(w.state, ended))
+	w.settle(30 * time.Second)
+	w.now = w.now.Add(catkinrail.KeepEnded)
+	w.settle(time.Second)
+	require.Len(t, w.state.Backends, drained+1)
+}
