document: accept what the platform's rules don't call invalid

Change: the kind "upload" is known; an unknown one is kept and treated like "unsafe". A service may be named twice.

--- a/document.go
+++ b/document.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// RequestKind says whether the requests of a route may be retried.
+// RequestKind says whether the requests of a route may be retried, and which part of
+// them is long. A document may name kinds that this version doesn't know.
 type RequestKind string
 
 // Kinds of requests.
@@ -19,8 +20,20 @@
 	KindUnsafe RequestKind = "unsafe"
 	// KindDownload requests are idempotent and have long responses.
 	KindDownload RequestKind = "download"
+	// KindUpload requests have long bodies and may run at most once.
+	KindUpload RequestKind = "upload"
 )
 
+// Known reports whether the kind is one of those above. Requests of another kind are
+// treated like those of KindUnsafe.
+func (k RequestKind) Known() bool {
+	switch k {
+	case KindSafe, KindUnsafe, KindDownload, KindUpload:
+		return true
+	}
+	return false
+}
+
 // Target is a service that a route sends a share of its new flows to.
 type Target struct {
 	Service string `cbor:"1,keyasint"`
@@ -66,9 +79,6 @@
 		if name == "" {
 			return &FieldError{Field: field, Reason: "is missing"}
 		}
-		if services[name] {
-			return &FieldError{Field: field, Reason: fmt.Sprintf("%q is named twice", name)}
-		}
 		services[name] = true
 	}
 	listens := map[netip.AddrPort]string{}
@@ -86,11 +96,6 @@
 }
 
 func (r *Route) validate(field string, services map[string]bool) error {
-	switch r.Kind {
-	case KindSafe, KindUnsafe, KindDownload:
-	default:
-		return &FieldError{Field: field + ".kind", Reason: fmt.Sprintf("%q is not a kind of request", r.Kind)}
-	}
 	if !r.Listen.IsValid() || r.Listen.Port() == 0 {
 		return &FieldError{Field: field, Reason: fmt.Sprintf("%s is not an address and a port", r.Listen)}
 	}
