egress: pace packets to the link, short ones before long bodies

Change: coordination/egress, a pure queue with the clock passed in: packets leave at 95 % of link_mbps with 8 ms of burst; what waits is ordered: short packets of open flows, opening packets, long bodies one after the other up to 64 KB each; a retransmission of a packet that still waits is dropped; bounded by two seconds of the link, the longest body gives way. The worker's read ends when the next packet may leave, so there is no timer for a packet and no sleep. A new flow is refused if the link alone would make its requests late; only uploads count what bodies wait. A rate that is absent, zero or no number means unlimited, also after a reload. Metrics link-wait, link-bytes-waiting, link-drops-*, packets-link.

The latency of a request counts from when its last byte left: a packet in the middle of a body that is sent again, or that waited here, moves it.

The emulated platform has uploads, and its entry instances a link of 20 Mbit/s, in the demo and the soak.

--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/egress"
 	"catkinrail.example/catkinrail/coordination/place"
 )
 
@@ -64,6 +65,9 @@
 	ReasonNoDocument
 	// ReasonOverload is a new flow that was shed because this instance is overloaded.
 	ReasonOverload
+	// ReasonLink is a new flow that was shed because its packets would wait too long for
+	// this instance's link.
+	ReasonLink
 	numReasons
 )
 
@@ -71,7 +75,7 @@
 func (r Reason) String() string {
 	names := [numReasons]string{
 		"placed", "copy", "next", "token", "no-route", "stale", "no-backend",
-		"unknown-token", "gone", "no-document", "overload",
+		"unknown-token", "gone", "no-document", "overload", "link",
 	}
 	if r >= numReasons {
 		return "unknown"
@@ -94,6 +98,8 @@
 	Reason Reason
 	// Backend is where a forwarded packet goes.
 	Backend *Backend
+	// Class is the packet's priority on the link.
+	Class egress.Class
 }
 
 // Timeouts and their parameters.
@@ -127,8 +133,14 @@
 	// latencyShift gives a sample the weight 1/8 in the moving averages of latency
 	// and handshake time, which then follow a change within about ten samples.
 	latencyShift = 3
+	// defaultLatencyTarget is assumed for routes without a latency target.
+	defaultLatencyTarget = time.Second
 )
 
+// shortRequest is the length of a request, in bytes, from which its packets count as
+// part of a long body.
+const shortRequest = 3 << 10
+
 // maxFlows limits the flows that are tracked, at about 200 bytes each.
 const maxFlows = 1 << 16
 
@@ -171,8 +183,11 @@
 	open bool
 	// missed is set once the handshake counts as unanswered.
 	missed bool
-	// requestedAt is the time of the pending request, or zero.
+	// requestedAt is the time at which the last byte of the pending request was sent, or
+	// zero.
 	requestedAt int64
+	// requestBytes is the length of the pending request.
+	requestBytes int
 	// sent and acked are the highest sequence and acknowledgement numbers of the
 	// caller's packets.
 	sent, acked uint32
@@ -203,6 +218,8 @@
 	lastContact int64
 	// overloaded is set while new flows are shed.
 	overloaded bool
+	// linkWait is the time for which a packet of each class waits for the link.
+	linkWait   [egress.NumClasses]time.Duration
 	candidates []place.Candidate
 	// handshakes are the attempts that may be pending, oldest first.
 	handshakes []handshake
@@ -249,8 +266,7 @@
 		}
 		return Verdict{Action: Refuse, Reason: ReasonGone}
 	}
-	e.observe(p, b, now)
-	return Verdict{Action: Forward, Reason: ReasonToken, Backend: b}
+	return Verdict{Action: Forward, Reason: ReasonToken, Backend: b, Class: e.observe(p, b, now)}
 }
 
 // open decides what to do with an opening packet.
@@ -260,19 +276,22 @@
 		return e.openCopy(p, f, now)
 	}
 	if e.overloaded {
-		return e.shed(p)
+		return e.shed(p, ReasonOverload)
 	}
 	listen := netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)
 	r := e.routes[listen]
 	if r == nil {
 		return e.refuse(p, ReasonNoRoute, now)
 	}
+	if e.linkFull(r) {
+		return e.shed(p, ReasonLink)
+	}
 	b := e.place(r.Pick(e.rng.Uint64()), nil, now)
 	if b == nil {
 		return e.refuse(p, ReasonNoBackend, now)
 	}
 	e.track(p, b, now)
-	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b}
+	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b, Class: egress.ClassOpening}
 }
 
 // refuse refuses a new flow if that is certainly right: if the document and the list
@@ -290,11 +309,31 @@
 
 // shed refuses a new flow. A retransmitted packet is dropped instead: another
 // instance may have forwarded the first.
-func (e *Engine) shed(p *catkinrail.TokenPacket) Verdict {
+func (e *Engine) shed(p *catkinrail.TokenPacket, reason Reason) Verdict {
 	if p.Copy > 0 {
-		return Verdict{Action: Drop, Reason: ReasonOverload}
+		return Verdict{Action: Drop, Reason: reason}
+	}
+	return Verdict{Action: Refuse, Reason: reason}
+}
+
+// SetLinkWait sets the time for which a packet of each class waits for the link.
+func (e *Engine) SetLinkWait(wait [egress.NumClasses]time.Duration) {
+	e.linkWait = wait
+}
+
+// linkFull reports whether a request on the route would miss its latency target because
+// of the link alone: its packets pass the instance at least twice, in the handshake and
+// in the request. Only uploads wait behind long bodies.
+func (e *Engine) linkFull(r *catkinrail.Route) bool {
+	target := r.LatencyTarget
+	if target <= 0 {
+		target = defaultLatencyTarget
+	}
+	c := egress.ClassOpening
+	if r.Kind == catkinrail.KindUpload {
+		c = egress.ClassBulk
 	}
-	return Verdict{Action: Refuse, Reason: ReasonOverload}
+	return 2*e.linkWait[c] > target
 }
 
 // SetOverloaded sets whether new flows are shed to keep those that are open. It
@@ -309,13 +348,13 @@
 func (e *Engine) openCopy(p *catkinrail.TokenPacket, f *flow, now int64) Verdict {
 	f.lastSeen = now
 	if f.open || now-f.openedAt < int64(retransmitGap) {
-		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend}
+		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
 	}
 	e.recordMiss(f, now)
 	next := e.place(f.backend.Service, f.backend, now)
 	if next == nil || next == f.previous {
 		f.openedAt = now
-		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend}
+		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
 	}
 	f.previous = f.backend
 	e.detach(f)
@@ -323,7 +362,7 @@
 	next.flows++
 	next.pendingHandshakes++
 	e.handshakes = append(e.handshakes, handshake{p.Flow, now})
-	return Verdict{Action: Forward, Reason: ReasonNext, Backend: next}
+	return Verdict{Action: Forward, Reason: ReasonNext, Backend: next, Class: egress.ClassOpening}
 }
 
 // place returns the backend server for a new flow, other than the one to avoid,
--- a/coordination/token/observe.go
+++ b/coordination/token/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/egress"
 )
 
 // track starts to track a flow that was placed on a backend server.
@@ -26,13 +27,13 @@
 }
 
 // observe updates the flow, and the load and latency of its backend server, from a
-// packet of an open flow.
-func (e *Engine) observe(p *catkinrail.TokenPacket, b *Backend, now int64) {
+// packet of an open flow. It returns the packet's class.
+func (e *Engine) observe(p *catkinrail.TokenPacket, b *Backend, now int64) egress.Class {
 	f := e.flows[p.Flow]
 	if f == nil || f.backend != b {
 		f = e.adopt(p, b, f, now)
 		if f == nil {
-			return
+			return egress.ClassShort
 		}
 	}
 	f.lastSeen = now
@@ -44,16 +45,43 @@
 		b.misses = 0
 		e.recordAnswer(f, now)
 	}
-	if end := p.Seq + uint32(p.Payload); p.Payload > 0 && int32(end-f.sent) > 0 {
-		f.sent = end
-		if f.requestedAt == 0 {
-			b.pending++
-		}
-		f.requestedAt = now
+	if p.Payload > 0 {
+		f.recordPayload(p, now)
 	}
 	if p.Closing || p.Reset {
 		e.untrack(p.Flow, f)
 	}
+	if p.Payload > 0 && f.requestBytes > shortRequest {
+		return egress.ClassBulk
+	}
+	return egress.ClassShort
+}
+
+// recordPayload records a packet of a request. The request is complete, and its backend
+// server can answer it, once the last of its packets has arrived: a packet that is sent
+// again before later ones shows that it had not.
+func (f *flow) recordPayload(p *catkinrail.TokenPacket, now int64) {
+	end := p.Seq + uint32(p.Payload)
+	if ahead := int32(end - f.sent); ahead <= 0 {
+		if ahead < 0 && f.requestedAt != 0 {
+			f.requestedAt = now
+		}
+		return
+	}
+	f.sent = end
+	if f.requestedAt == 0 {
+		f.backend.pending++
+		f.requestBytes = 0
+	}
+	f.requestBytes += p.Payload
+	f.requestedAt = now
+}
+
+// RecordSent records that a packet of the flow has left that had waited for the link.
+func (e *Engine) RecordSent(key catkinrail.FlowKey, now int64) {
+	if f := e.flows[key]; f != nil && f.requestedAt != 0 {
+		f.requestedAt = now
+	}
 }
 
 // recordHandshake records that the caller has completed the handshake.
--- a/emulator/cmd/catkinrail-emulator/measure.go
+++ b/emulator/cmd/catkinrail-emulator/measure.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"os"
+	"text/tabwriter"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"catkinrail.example/catkinrail/emulator/experiment"
+	"catkinrail.example/catkinrail/emulator/link"
 )
 
 const outDirMode = 0o755
@@ -48,6 +50,19 @@
 		fmt.Printf("unplanned-broken: %d\n", w.UnplannedBroken)
 		fmt.Printf("imbalance: %.3f\n", w.Imbalance)
 		fmt.Printf("control-bytes-node-second: %.0f\n", w.ControlBytes)
-		return nil
+		return measureLink(*seed)
 	}}
 }
+
+// measureLink compares the ways to send through a thin link.
+func measureLink(seed uint64) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "UPLOADS, OF THE LINK\tPOLICY\tLATE UPLOADS\tP99\tLATE SHORT REQUESTS\tP99")
+	for _, share := range []float64{0.2, 0.5, 0.8, 1.1} {
+		for _, p := range link.Policies {
+			r := link.Run(p, share, seed)
+			fmt.Fprintf(w, "%.1f\t%s\t%.1f%%\t%s\t%.1f%%\t%s\n", share, p.Name, 100*r.LateUploads, r.UploadP99, 100*r.LateShort, r.ShortP99)
+		}
+	}
+	return w.Flush()
+}
--- a/emulator/cmd/catkinrail-emulator/platform_node.go
+++ b/emulator/cmd/catkinrail-emulator/platform_node.go
@@ -19,9 +19,10 @@
 	listen := c.Flag("listen", "Address that the machine listens on, if it differs from --ip.").String()
 	seeds := c.Flag("seed", "Address of a control instance; repeat it for up to three.").Required().Strings()
 	data := c.Flag("data", "Directory of the durable state; empty for an entry instance.").String()
+	link := c.Flag("link-mbps", "Rate of the machine's link in Mbit/s; 0 if it isn't given.").Float64()
 	first := c.Flag("first", "Bootstrap: the whole system starts for the first time.").Bool()
 	return command{clause: c, run: func(context.Context) error {
-		n := standin.Node{Name: *name, Zone: *zone, Data: *data, FirstStart: *first}
+		n := standin.Node{Name: *name, Zone: *zone, Data: *data, FirstStart: *first, LinkMbps: *link}
 		var err error
 		if n.IP, err = netip.ParseAddr(*ip); err != nil {
 			return err
--- a/emulator/cmd/catkinrail-emulator/platform_run.go
+++ b/emulator/cmd/catkinrail-emulator/platform_run.go
@@ -28,6 +28,10 @@
 	// no new flows; the users set it.
 	platformDrainGrace = 3 * time.Second
 	platformBackends   = 3
+	// platformUploadFlows is the number of flows that upload platformUploadSize bytes
+	// with each request.
+	platformUploadFlows = 2
+	platformUploadSize  = 40_000
 	// platformLoss and platformRepeat are the shares of callers' packets that are
 	// lost or sent twice in a soak test.
 	platformLoss   = 0.01
@@ -37,6 +41,10 @@
 	platformMaxChangeInterval = 1500 * time.Millisecond
 )
 
+// uploadRoute is the index of the route for uploads. The routes before it have a service
+// each.
+const uploadRoute = 2
+
 // errViolation reports that a check of the run failed.
 var errViolation = errors.New("a check of the run failed: see the printed counts")
 
@@ -95,9 +103,10 @@
 	routes := []standin.Route{
 		{Listen: netip.MustParseAddrPort("198.18.0.1:8443"), Service: "feed"},
 		{Listen: netip.MustParseAddrPort("198.18.0.1:8080"), Service: "booking"},
+		{Listen: netip.MustParseAddrPort("198.18.0.1:8081"), Service: "booking", Kind: "upload"},
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	for _, r := range routes {
+	for _, r := range routes[:uploadRoute] {
 		for range platformBackends {
 			p.startBackend(ctx, g, r.Service)
 		}
@@ -149,9 +158,16 @@
 			requests = platformLongRequests
 		}
 		callers.Go(func() error {
-			return caller.Run(callCtx, routes[i%len(routes)].Listen, platformFlows, requests, platformRequestPause)
+			return caller.Run(callCtx, routes[i%uploadRoute].Listen, platformFlows, requests, platformRequestPause)
 		})
 	}
+	uploader := standin.Caller{
+		Addr:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, p.subnet, 8, byte(1 + platformCallers)}), standin.PacketPort),
+		Router: p.router, Counts: &p.counts, Body: platformUploadSize,
+	}
+	callers.Go(func() error {
+		return uploader.Run(callCtx, routes[uploadRoute].Listen, platformUploadFlows, platformShortRequests, platformRequestPause)
+	})
 	callers.Go(func() error {
 		if p.seed != 0 {
 			return p.churn(callCtx, ctx, g, routes, op)
@@ -185,7 +201,7 @@
 	for version := uint64(2); callCtx.Err() == nil; version++ {
 		clock.Sleep(callCtx, time.Duration(rng.Int64N(int64(platformMaxChangeInterval))))
 		if rng.IntN(2) == 0 {
-			p.replaceBackend(ctx, g, routes[rng.IntN(len(routes))].Service)
+			p.replaceBackend(ctx, g, routes[rng.IntN(uploadRoute)].Service)
 			continue
 		}
 		list := routes
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -90,6 +90,7 @@
 	}
 	codec := platform.PacketCodec{CallerPort: d.node.Packets.Port()}
 	d.worker = packet.New(d.router, conn, codec, d.clock, d.log, reg)
+	d.worker.SetLink(d.node.LinkBits)
 	g.Go(func() error { return d.worker.Run(ctx) })
 	g.Go(func() error { return d.client.Run(ctx) })
 	g.Go(func() error {
@@ -156,13 +157,15 @@
 	d.drain(ctx)
 }
 
-// reload applies the settings that may change while the instance runs: the seeds.
+// reload applies the settings that may change while the instance runs: the seeds and the
+// link's rate.
 func (d *tokenDaemon) reload(b []byte) error {
 	n, err := platform.ParseNode(d.file.Name, b)
 	if err != nil {
 		return err
 	}
 	d.client.SetSeeds(seedAddrs(n))
+	d.worker.SetLink(n.LinkBits)
 	return nil
 }
 
--- a/entry/packet/worker.go
+++ b/entry/packet/worker.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/egress"
 	"catkinrail.example/catkinrail/coordination/overload"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/entry/fabric"
@@ -47,10 +49,20 @@
 	f(r.engine, r.clock.Nanos())
 }
 
+// minReadTimeout is the shortest time for which a read waits for datagrams.
+const minReadTimeout = 100 * time.Microsecond
+
+// Socket is the part of udp.Conn that a worker uses.
+type Socket interface {
+	fabric.Socket
+	// ReadTimeout is like Read, but returns zero if no datagram arrives within d.
+	ReadTimeout(d time.Duration) (int, error)
+}
+
 // Worker serves one socket. Not safe for concurrent use.
 type Worker struct {
 	router *Router
-	conn   fabric.Socket
+	conn   Socket
 	codec  catkinrail.TokenCodec
 	log    *logs.Logger
 	budget *logs.Budget
@@ -59,6 +71,9 @@
 	malformed  metrics.Counter
 	sendFailed metrics.Counter
 	detector   overload.Detector
+	// queue holds the packets that wait for the link; the router's lock guards it.
+	queue      *egress.Queue
+	linkStats  *linkStats
 	lastPacket atomic.Int64
 	arena      []byte
 	events     []flowEvent
@@ -75,11 +90,11 @@
 }
 
 // New returns a worker for the socket. It registers its metrics with reg.
-func New(r *Router, conn fabric.Socket, codec catkinrail.TokenCodec, clock catkinrail.Clock, log *logs.Logger, reg metrics.Registry) *Worker {
+func New(r *Router, conn Socket, codec catkinrail.TokenCodec, clock catkinrail.Clock, log *logs.Logger, reg metrics.Registry) *Worker {
 	w := &Worker{
 		router: r, conn: conn, codec: codec, log: log, budget: logs.NewBudget(clock, logLinesPerSecond),
 		malformed: metrics.GetOrRegisterCounter("packets-bad", reg), sendFailed: metrics.GetOrRegisterCounter("packets-send-failed", reg),
-		arena: make([]byte, 0, arenaSize),
+		arena: make([]byte, 0, arenaSize), queue: egress.New(), linkStats: newLinkStats(reg),
 	}
 	r.Do(func(e *token.Engine, _ int64) {
 		e.SetObserver(&observer{
@@ -113,7 +128,7 @@
 	stop := context.AfterFunc(ctx, func() { w.conn.Close() })
 	defer stop()
 	for {
-		n, err := w.conn.Read()
+		n, err := w.read()
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
@@ -124,19 +139,44 @@
 	}
 }
 
-// Batch handles the datagrams of the socket's last read.
+// SetLink sets the rate of the instance's link in bits a second. Anything but a positive
+// number means that the link is unlimited.
+func (w *Worker) SetLink(bitsPerSecond float64) {
+	w.router.Do(func(*token.Engine, int64) { w.queue.SetLink(bitsPerSecond) })
+}
+
+// read waits for datagrams, or until the next waiting packet may be sent.
+func (w *Worker) read() (int, error) {
+	var at, now int64
+	waiting := false
+	w.router.Do(func(_ *token.Engine, nanos int64) {
+		now = nanos
+		at, waiting = w.queue.NextAt()
+	})
+	if !waiting {
+		return w.conn.Read()
+	}
+	return w.conn.ReadTimeout(max(time.Duration(at-now), minReadTimeout))
+}
+
+// Batch handles the datagrams of the socket's last read, and sends the waiting packets
+// that the link can take.
 func (w *Worker) Batch(n int) {
 	w.arena = w.arena[:0]
 	w.events = w.events[:0]
 	w.router.Do(func(e *token.Engine, now int64) {
-		w.lastPacket.Store(now)
+		if n > 0 {
+			w.lastPacket.Store(now)
+		}
 		overloaded := w.detector.ObserveRead(n == udp.BatchSize, now)
 		if e.SetOverloaded(overloaded) {
 			w.log.Info().Bool("overloaded", overloaded).Int("flows", e.Flows()).Msg("overload changed")
 		}
+		e.SetLinkWait(w.linkWait())
 		for i := range n {
 			w.handle(e, i, now)
 		}
+		w.sendWaiting(e, now)
 	})
 	if failed := w.conn.Flush(); failed > 0 {
 		w.sendFailed.Inc(int64(failed))
@@ -166,10 +206,66 @@
 	switch v.Action {
 	case token.Forward:
 		w.arena = w.codec.Forward(w.arena, b, v.Backend.Identity, v.Backend.Token())
-		w.conn.Queue(v.Backend.Addr, w.arena[start:])
+		w.send(v.Backend.Addr, w.arena[start:], &p, v.Class, now)
 	case token.Refuse:
 		w.arena = w.codec.Reset(w.arena, &p)
-		w.conn.Queue(w.codec.Caller(&p), w.arena[start:])
+		w.send(w.codec.Caller(&p), w.arena[start:], &p, egress.ClassOpening, now)
+	}
+}
+
+// send sends a datagram, or queues a copy until the link can take it.
+func (w *Worker) send(to netip.AddrPort, b []byte, p *catkinrail.TokenPacket, c egress.Class, now int64) {
+	if w.queue.Admit(len(b), now) {
+		w.conn.Queue(to, b)
+		return
+	}
+	w.queue.Push(&egress.Packet{To: to, Flow: p.Flow, Seq: p.Seq, Class: c, Data: b}, now)
+}
+
+// sendWaiting sends the waiting packets that the link can take.
+func (w *Worker) sendWaiting(e *token.Engine, now int64) {
+	w.queue.Release()
+	for {
+		p, waited, ok := w.queue.Pop(now)
+		if !ok {
+			break
+		}
+		w.conn.Queue(p.To, p.Data)
+		w.lastPacket.Store(now)
+		w.linkStats.wait.Update(int64(waited))
+		if p.Class == egress.ClassBulk {
+			e.RecordSent(p.Flow, now)
+		}
+	}
+	w.linkStats.update(w.queue)
+}
+
+func (w *Worker) linkWait() (wait [egress.NumClasses]time.Duration) {
+	for c := range egress.NumClasses {
+		wait[c] = w.queue.Wait(c)
+	}
+	return wait
+}
+
+// linkStats are the metrics of the packets that wait for the link.
+type linkStats struct {
+	wait  metrics.Histogram
+	bytes metrics.Gauge
+	drops [egress.NumClasses]metrics.Counter
+}
+
+func newLinkStats(reg metrics.Registry) *linkStats {
+	s := &linkStats{wait: metricspage.Histogram("link-wait", reg), bytes: metrics.GetOrRegisterGauge("link-bytes-waiting", reg)}
+	for c := range egress.NumClasses {
+		s.drops[c] = metrics.GetOrRegisterCounter("link-drops-"+c.String(), reg)
+	}
+	return s
+}
+
+func (s *linkStats) update(q *egress.Queue) {
+	s.bytes.Update(int64(q.Bytes()))
+	for c := range egress.NumClasses {
+		s.drops[c].Inc(int64(q.Drops(c)) - s.drops[c].Count())
 	}
 }
 
--- a/entry/packet/worker_test.go
+++ b/entry/packet/worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -15,6 +16,7 @@
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/platform"
+	"catkinrail.example/catkinrail/protocol/metricspage"
 )
 
 // manualClock is a clock whose time the tests set.
@@ -38,12 +40,13 @@
 	failed int
 }
 
-func (s *fakeSocket) Read() (int, error)                { return len(s.in), nil }
-func (s *fakeSocket) Datagram(i int) ([]byte, bool)     { return s.in[i], true }
-func (s *fakeSocket) Source(int) netip.AddrPort         { return netip.AddrPort{} }
-func (s *fakeSocket) Queue(to netip.AddrPort, b []byte) { s.queue = append(s.queue, sent{to, b}) }
-func (s *fakeSocket) Discard()                          { s.queue = nil }
-func (s *fakeSocket) Close() error                      { return nil }
+func (s *fakeSocket) Read() (int, error)                     { return len(s.in), nil }
+func (s *fakeSocket) ReadTimeout(time.Duration) (int, error) { return len(s.in), nil }
+func (s *fakeSocket) Datagram(i int) ([]byte, bool)          { return s.in[i], true }
+func (s *fakeSocket) Source(int) netip.AddrPort              { return netip.AddrPort{} }
+func (s *fakeSocket) Queue(to netip.AddrPort, b []byte)      { s.queue = append(s.queue, sent{to, b}) }
+func (s *fakeSocket) Discard()                               { s.queue = nil }
+func (s *fakeSocket) Close() error                           { return nil }
 
 func (s *fakeSocket) Flush() int {
 	for _, d := range s.queue {
@@ -140,3 +143,58 @@
 	w.Batch(1)
 	require.Equal(t, int64(1), metrics.GetOrRegisterCounter("packets-send-failed", reg).Count())
 }
+
+// dataPacket returns a full packet of a request on the flow of the port.
+func dataPacket(port uint16, seq, token uint32) []byte {
+	b := append(opening(port, netip.MustParseAddrPort("198.18.0.1:443")), make([]byte, 1200)...)
+	b[4] = 64
+	binary.BigEndian.PutUint32(b[17:], seq)
+	binary.BigEndian.PutUint32(b[25:], token)
+	binary.BigEndian.PutUint16(b[29:], 1200)
+	return b
+}
+
+// A window of full packets leaves at the rate of the link, and none is lost; other packets
+// and links that are fast enough don't wait.
+func TestWorkerPacesToLink(t *testing.T) {
+	tests := []struct {
+		name  string
+		bits  float64
+		first int
+	}{
+		{"unlimited", 0, 16},
+		{"700 Mbit/s", 700e6, 16},
+		{"1.4 Mbit/s", 1.4e6, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w, s, reg := newWorker(t, &bytes.Buffer{})
+			clk, ok := w.router.clock.(*manualClock)
+			require.True(t, ok)
+			w.SetLink(tt.bits)
+			for i := range uint32(16) {
+				s.in = append(s.in, dataPacket(40001, 1+i*1200, 9))
+			}
+			w.Batch(16)
+			require.Len(t, s.out, tt.first)
+			require.Equal(t, tt.first < 16, w.queue.Bytes() > 0)
+			began := clk.now
+			for range 1000 {
+				if w.queue.Empty() {
+					break
+				}
+				clk.now = clk.now.Add(time.Millisecond)
+				w.Batch(0)
+			}
+			require.Len(t, s.out, 16)
+			for i, d := range s.out {
+				require.Equal(t, s.in[i], d.b[8:], "packet %d", i)
+			}
+			if tt.first < 16 {
+				require.InDelta(t, 16*1275*8/(0.95*tt.bits), clk.now.Sub(began).Seconds(), 0.025)
+				require.Equal(t, int64(14), metricspage.Histogram("link-wait", reg).Count())
+			}
+			require.Zero(t, metrics.GetOrRegisterCounter("link-drops-bulk", reg).Count())
+		})
+	}
+}
--- a/scripts/platform-lib.sh
+++ b/scripts/platform-lib.sh
@@ -7,6 +7,8 @@
 net=${net:-1}
 seeds=(--seed "127.$net.1.100" --seed "127.$net.2.100" --seed "127.$net.3.100")
 zone_names=(a b c)
+# link_mbps is the rate of an entry instance's link. Uploads reach it, so that packets wait.
+link_mbps=${link_mbps:-20}
 
 # write_node_file NAME ZONE-NUMBER IP [FLAG...]: writes the platform's settings of an
 # instance to $out/NAME.yaml. Zone numbers count from 1.
@@ -44,7 +46,7 @@
 		write_node_file "core-$z" "$z" "127.$net.$z.100" "${args[@]}" --data "$out/data-$z" --first
 		start_on_platform "core-$z"
 		for n in 1 2; do
-			write_node_file "front-$z-$n" "$z" "127.$net.$z.$n"
+			write_node_file "front-$z-$n" "$z" "127.$net.$z.$n" --link-mbps "$link_mbps"
 			start_on_platform "front-$z-$n"
 		done
 	done
--- a/transport/udp/udp.go
+++ b/transport/udp/udp.go
@@ -3,10 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
+	"time"
 
 	"golang.org/x/net/ipv4"
 	"golang.org/x/sys/unix"
@@ -81,6 +84,18 @@
 	return c.packet.ReadBatch(c.in, 0)
 }
 
+// ReadTimeout is like Read, but returns zero if no datagram arrives within d.
+func (c *Conn) ReadTimeout(d time.Duration) (int, error) {
+	if err := c.conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return 0, err
+	}
+	n, err := c.packet.ReadBatch(c.in, 0)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = 0, nil
+	}
+	return n, errors.Join(err, c.conn.SetReadDeadline(time.Time{}))
+}
+
 // Datagram returns the i-th datagram of the last Read. It is valid until the next Read.
 // If complete is false, the datagram filled the buffer and may have been truncated.
 func (c *Conn) Datagram(i int) (b []byte, complete bool) {
