quorum, core: elect a leader and apply the log sooner after a loss of power

Change: a started node probes the other voters; a leader answers at once, a candidate campaigns again, by rank, so that votes aren't split, and drops calls to the node that wait for a connection. A node that grants a pre-vote postpones its own campaign. Log entries carry a key: of those with the same key in a committed batch only the last is decoded. Updates that an entry instance needs before it can serve aren't batched. Journals and messages of older builds have no key and no probes, and work as before.

TestElectionWithMajority and TestReplacedDocumentsAreNotDecoded fail on the code before.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -186,7 +186,7 @@
 	timing.NoLease = d.cfg.NoLeases
 	c, err := core.New(core.Config{
 		ID: d.identity.Node, Name: d.cfg.Name, Timing: timing, Lease: d.cfg.Lease,
-		Seed: rand.Uint64(), Clock: clk, Log: d.log, Journal: j, Stored: stored, Send: voters.Send,
+		Seed: rand.Uint64(), Clock: clk, Log: d.log, Journal: j, Stored: stored, Send: voters.Send, Reconnect: voters.Reconnect,
 		EvictAfter: d.cfg.EvictAfter,
 		Reopen:     func() (*journal.Journal, quorum.Stored, error) { return journal.Open(d.dir) },
 	})
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -89,6 +89,9 @@
 	EvictAfter time.Duration
 	// Send sends messages to other control instances. It must not block.
 	Send func([]quorum.Message, *quorum.Members)
+	// Reconnect, unless nil, drops the pending calls to a control instance that has just
+	// started. It must not block.
+	Reconnect func(quorum.NodeID)
 }
 
 // Core is a control instance. Its state belongs to the goroutine of Run. Other
@@ -163,6 +166,11 @@
 // first failure to write or apply, and returns it.
 func (c *Core) Run(ctx context.Context) error {
 	defer close(c.stopped)
+	if err := c.handleReady(); err != nil {
+		if err := c.recover(ctx, err); err != nil {
+			return err
+		}
+	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -225,6 +233,9 @@
 	select {
 	case c.inbox <- func() {
 		for _, m := range list {
+			if m.Kind == quorum.Probe && c.cfg.Reconnect != nil {
+				c.cfg.Reconnect(m.From)
+			}
 			c.node.Step(m, c.now())
 		}
 	}:
@@ -250,10 +261,8 @@
 		if len(r.Messages) > 0 {
 			c.cfg.Send(r.Messages, c.node.Members())
 		}
-		for i := range r.Committed {
-			if err := c.apply(&r.Committed[i]); err != nil {
-				return catkinrail.At(err, "apply entry", c.cfg.Name)
-			}
+		if err := c.applyAll(r.Committed); err != nil {
+			return catkinrail.At(err, "apply entry", c.cfg.Name)
 		}
 		if err := c.compact(); err != nil {
 			return catkinrail.At(err, "write snapshot", c.cfg.Name)
@@ -289,6 +298,50 @@
 	return nil
 }
 
+// Keys of log entries.
+const (
+	// documentKey is the key of entries that only put a document.
+	documentKey quorum.EntryKey = 1
+)
+
+// entryKey returns the key of the entry for a change with the given events.
+func entryKey(events []cluster.Event) quorum.EntryKey {
+	if len(events) == 1 && events[0].DocumentPut != nil {
+		return documentKey
+	}
+	return 0
+}
+
+// applyAll applies entries in order. Those that a later one replaces are not decoded:
+// after a restart the log may hold many documents, and decoding them all would delay the
+// recovery.
+func (c *Core) applyAll(list []quorum.Entry) error {
+	last := map[quorum.EntryKey]int{}
+	for i := range list {
+		last[list[i].Key] = i
+	}
+	for i := range list {
+		e := &list[i]
+		if e.Key != 0 && last[e.Key] > i {
+			c.skip(e)
+			continue
+		}
+		if err := c.apply(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// skip applies an entry that a later one replaces, as a change without events.
+func (c *Core) skip(e *quorum.Entry) {
+	change := cluster.Change{Version: c.state.Version + 1}
+	c.state.Version = change.Version
+	c.keepChange(change)
+	c.notify()
+	c.resolveInFlight(e)
+}
+
 func (c *Core) apply(e *quorum.Entry) error {
 	if e.Kind == quorum.EntryData {
 		var change cluster.Change
@@ -417,7 +470,7 @@
 		return
 	}
 	p.answer = answer
-	p.index, p.term, err = c.node.Propose(data)
+	p.index, p.term, err = c.node.Propose(data, entryKey(events))
 	if err != nil {
 		p.finish(Result{Err: c.leaderError()})
 		return
--- a/control/core/document_test.go
+++ b/control/core/document_test.go
@@ -278,3 +278,74 @@
 	require.Equal(t, big, change.Events[0].DocumentPut)
 	require.Error(t, cluster.DecodeCompressed(data[:len(data)/2], &change))
 }
+
+// TestReplacedDocumentsAreNotDecoded applies a committed batch, as after a restart, in
+// which a later document replaces earlier ones: they must not cost the time to decode
+// them. Entries without a key, and the last one with a key, are always applied.
+func TestReplacedDocumentsAreNotDecoded(t *testing.T) {
+	encode := func(c cluster.Change) []byte {
+		data, err := cluster.EncodeCompressed(&c)
+		require.NoError(t, err)
+		return data
+	}
+	document := func(version uint64, d *catkinrail.Document) []byte {
+		return encode(cluster.Change{Version: version, Events: []cluster.Event{{DocumentPut: d}}})
+	}
+	unreadable := []byte("not a change")
+	tests := []struct {
+		name    string
+		entries []quorum.Entry
+		version uint64
+		want    string
+		fails   bool
+	}{
+		{"replaced by the last", []quorum.Entry{
+			{Index: 1, Data: unreadable, Key: documentKey}, {Index: 2, Data: unreadable, Key: documentKey}, {Index: 3, Data: document(3, doc(7, "c")), Key: documentKey},
+		}, 3, "c", false},
+		{"the last one counts", []quorum.Entry{{Index: 1, Data: document(1, doc(5, "a")), Key: documentKey}, {Index: 2, Data: unreadable, Key: documentKey}}, 1, "", true},
+		{"other entries between", []quorum.Entry{
+			{Index: 1, Data: unreadable, Key: documentKey}, {Index: 2, Kind: quorum.EntryNoop}, {Index: 3, Data: encode(cluster.Change{Version: 2})},
+			{Index: 4, Data: document(3, doc(7, "c")), Key: documentKey}, {Index: 5, Data: encode(cluster.Change{Version: 4})},
+		}, 4, "c", false},
+		{"without keys, as older versions wrote them", []quorum.Entry{{Index: 1, Data: document(1, doc(5, "a"))}, {Index: 2, Data: document(2, doc(7, "c"))}}, 2, "c", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tc := newTestClusterWith(t, 1, noLease, 0)
+			c := tc.cores[1]
+			err := c.applyAll(tt.entries)
+			if tt.fails {
+				require.Error(t, err)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tt.version, c.state.Version)
+			require.Equal(t, tt.want, string(c.state.Document.Source))
+		})
+	}
+}
+
+// TestDocumentsAfterRestart puts documents, restarts all instances, and puts another.
+func TestDocumentsAfterRestart(t *testing.T) {
+	tc := newTestClusterWith(t, 3, noLease, 0)
+	put := func(version uint64) {
+		done := tc.beginPut(tc.leader(), doc(version, fmt.Sprint("v", version)))
+		tc.run(200 * time.Millisecond)
+		require.NoError(t, (<-done).Err)
+	}
+	for version := uint64(1); version <= 20; version++ {
+		put(version)
+	}
+	for id := range tc.cores {
+		tc.start(id)
+	}
+	tc.run(2 * time.Second)
+	for _, c := range tc.cores {
+		require.Equal(t, "v20", string(c.Published().Document.Source))
+		require.Equal(t, uint64(20), c.state.Version)
+	}
+	put(21)
+	for _, c := range tc.cores {
+		require.Equal(t, "v21", string(c.Published().Document.Source))
+	}
+}
--- a/control/follow/feed_test.go
+++ b/control/follow/feed_test.go
@@ -122,3 +122,23 @@
 	require.Zero(t, s.resumeRevision(message.ResumePoint{Process: s.process + 1, Revision: first.to}))
 	require.Zero(t, s.resumeRevision(message.ResumePoint{}))
 }
+
+// A stream waits for further changes only if the entry instance can serve meanwhile.
+func TestAwaitedUpdates(t *testing.T) {
+	tests := []struct {
+		name     string
+		document uint64
+		current  bool
+		want     bool
+	}{
+		{"a new entry instance", 0, true, true},
+		{"after a restart of all control instances", 7, false, true},
+		{"in service", 7, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			st := &stream{Follower: Follower{Document: tt.document}, current: tt.current}
+			require.Equal(t, tt.want, st.awaited())
+		})
+	}
+}
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -128,12 +128,21 @@
 			if documentVersion(published) <= st.Document && published.Members == st.members {
 				continue
 			}
+			if st.awaited() {
+				return false, nil
+			}
 		}
 		clock.Sleep(ctx, batchDelay)
 		return false, ctx.Err()
 	}
 }
 
+// awaited reports whether the entry instance can't serve before the next update: it has
+// no document, or nobody has told it that its document is current.
+func (st *stream) awaited() bool {
+	return st.Document == 0 || !st.current
+}
+
 // InContact reports whether this control instance had, within syncTimeout, everything
 // that its leader had committed.
 func (s *Server) InContact() bool {
--- a/control/voter/voter.go
+++ b/control/voter/voter.go
@@ -54,6 +54,8 @@
 	queue   chan quorum.Message
 	limiter *logs.Limiter
 	cancel  context.CancelFunc
+	// cancelCall ends the last call; the transport's mu guards it.
+	cancelCall context.CancelFunc
 }
 
 // New returns a transport whose senders run in the group until ctx ends.
@@ -116,7 +118,7 @@
 			return
 		case m := <-s.queue:
 			batch := collectBatch(s.queue, m)
-			if err := sendBatch(ctx, s.client, batch); err != nil && ctx.Err() == nil {
+			if err := t.sendTo(ctx, s, batch); err != nil && ctx.Err() == nil {
 				if skipped, ok := s.limiter.Allow(); ok {
 					t.log.Warn(err).Uint64("skipped", skipped).Msg("could not send messages to control instance")
 				}
@@ -125,6 +127,26 @@
 	}
 }
 
+// Reconnect ends the call in progress to a node. It may be waiting for a connection to
+// the machine as it was before the node started.
+func (t *Transport) Reconnect(id quorum.NodeID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.senders[id]; s != nil && s.cancelCall != nil {
+		s.cancelCall()
+	}
+}
+
+// sendTo sends a batch in a call that Reconnect ends.
+func (t *Transport) sendTo(ctx context.Context, s *sender, batch []quorum.Message) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.mu.Lock()
+	s.cancelCall = cancel
+	t.mu.Unlock()
+	return sendBatch(ctx, s.client, batch)
+}
+
 // collectBatch takes further queued messages, so that one call carries them.
 func collectBatch(queue chan quorum.Message, first quorum.Message) []quorum.Message {
 	batch := []quorum.Message{first}
--- a/coordination/quorum/election.go
+++ b/coordination/quorum/election.go
@@ -13,6 +13,9 @@
 	case PreVoteAnswer:
 		n.handlePreVoteAnswer(&m)
 		return
+	case Probe:
+		n.handleProbe(&m)
+		return
 	}
 	if m.Term > n.hard.Term {
 		n.becomeFollower(m.Term, 0)
@@ -78,6 +81,35 @@
 	}
 }
 
+// handleProbe answers a node that has just started. A leader makes itself known. Without
+// one, this node campaigns, since the vote of the started node may be the one that was
+// missing: in the order of the nodes' identifiers, so that they don't split the votes.
+func (n *Node) handleProbe(m *Message) {
+	switch {
+	case !n.timing.NoLease || !n.members.Voter(m.From):
+	case n.role == Leader:
+		if n.progress[m.From] != nil {
+			n.sendAppend(m.From)
+		}
+	case n.leader == 0 && n.members.Voter(n.id):
+		n.deadline = min(n.deadline, n.now+int64(n.rank(m.From))*int64(n.timing.ElectionTimeout)/staggerDivisor)
+	}
+}
+
+// rank returns the number of voters, other than the given one, that have lower
+// identifiers than this node and may campaign at the same time. A candidate counts only
+// those that have granted it their votes: the others may be down.
+func (n *Node) rank(except NodeID) int {
+	rank := 0
+	for id := range n.members.Nodes {
+		down := n.role != Follower && !n.votes[id]
+		if n.members.Voter(id) && id != except && id < n.id && !down {
+			rank++
+		}
+	}
+	return rank
+}
+
 // promote makes a pre-candidate with a majority a candidate, and a candidate with
 // a majority the leader.
 func (n *Node) promote() {
@@ -116,6 +148,8 @@
 			// A rejection carries this node's own term: the candidate would take
 			// the proposed term for a later one and adopt it.
 			answer.Term, answer.Reject = n.hard.Term, true
+		} else if n.timing.NoLease {
+			n.yieldTo(m.From)
 		}
 		n.send(answer)
 		return
@@ -132,6 +166,16 @@
 	n.send(Message{Kind: kind, To: m.From, Term: n.hard.Term, Reject: !grant})
 }
 
+// yieldTo postpones this node's next campaign, so that it doesn't split the votes with the
+// pre-candidate that it has granted its vote. Of two pre-candidates, the one with the
+// higher identifier gives up its campaign.
+func (n *Node) yieldTo(other NodeID) {
+	if n.role == PreCandidate && other < n.id {
+		n.becomeFollower(n.hard.Term, 0)
+	}
+	n.resetCampaignDeadline()
+}
+
 func (n *Node) handlePreVoteAnswer(m *Message) {
 	if m.Reject {
 		if m.Term > n.hard.Term {
--- a/coordination/quorum/message.go
+++ b/coordination/quorum/message.go
@@ -26,6 +26,10 @@
 	EntryMembers
 )
 
+// EntryKey identifies what an entry replaces as a whole: of several entries with the same
+// key only the last has an effect. Zero is no key.
+type EntryKey uint8
+
 // Entry is an entry of the log.
 type Entry struct {
 	Index uint64    `cbor:"1,keyasint"`
@@ -34,6 +38,7 @@
 	Data  []byte    `cbor:"4,keyasint,omitempty"`
 	// Members is set for EntryMembers.
 	Members *Members `cbor:"5,keyasint,omitempty"`
+	Key     EntryKey `cbor:"6,keyasint,omitempty"`
 }
 
 // Members is the membership of the quorum.
@@ -95,11 +100,13 @@
 	AppendAnswer
 	Install
 	InstallAnswer
+	// Probe tells that its sender has just started and can be reached.
+	Probe
 )
 
 // String returns the name of the kind.
 func (k Kind) String() string {
-	names := [...]string{"none", "pre-vote", "pre-vote-answer", "vote", "vote-answer", "append", "append-answer", "install", "install-answer"}
+	names := [...]string{"none", "pre-vote", "pre-vote-answer", "vote", "vote-answer", "append", "append-answer", "install", "install-answer", "probe"}
 	if int(k) >= len(names) {
 		return "unknown"
 	}
--- a/coordination/quorum/node.go
+++ b/coordination/quorum/node.go
@@ -54,6 +54,10 @@
 	// campaignDivisor divides the election timeout to give the minimum time between
 	// two campaigns of a candidate.
 	campaignDivisor = 4
+	// staggerDivisor divides the election timeout to give the time between the campaigns
+	// of two nodes that a started node has probed. It exceeds the latency between
+	// availability zones, so that the first campaign reaches the others before theirs.
+	staggerDivisor = 30
 )
 
 // Errors of Propose, ChangeMembers and BeginRead. Nothing was appended to the log.
@@ -133,10 +137,20 @@
 		n.lastLeaderContact = now - int64(timing.ElectionTimeout)
 		span := int64(timing.ElectionTimeout) / startupElectionDivisor
 		n.deadline = now + span + n.rng.Int64N(2*span)
+		n.probe()
 	}
 	return n
 }
 
+// probe tells the other voters that this node has started.
+func (n *Node) probe() {
+	for _, id := range n.members.sorted() {
+		if id != n.id && n.members.Voter(id) && n.members.Voter(n.id) {
+			n.send(Message{Kind: Probe, To: id})
+		}
+	}
+}
+
 // refreshMembers applies the latest members in the log. Members take effect when
 // their entry is appended, and are reverted when it is truncated.
 func (n *Node) refreshMembers() {
@@ -263,8 +277,8 @@
 
 // Propose appends data to the log and returns the entry's index and term. The
 // entry is committed only once Ready returns it in Committed with the same term.
-func (n *Node) Propose(data []byte) (index, term uint64, err error) {
-	return n.propose(Entry{Kind: EntryData, Data: data})
+func (n *Node) Propose(data []byte, key EntryKey) (index, term uint64, err error) {
+	return n.propose(Entry{Kind: EntryData, Data: data, Key: key})
 }
 
 func (n *Node) propose(e Entry) (index, term uint64, err error) {
--- a/coordination/quorum/quorum_test.go
+++ b/coordination/quorum/quorum_test.go
@@ -289,7 +289,7 @@
 	g := newTestGroup(t, 3, 4, 0)
 	g.run(3 * time.Second)
 	for i := range 300 {
-		_, _, err := g.leader().node.Propose([]byte(fmt.Sprint(i)))
+		_, _, err := g.leader().node.Propose([]byte(fmt.Sprint(i)), 0)
 		require.NoError(t, err)
 		g.run(20 * time.Millisecond)
 	}
@@ -311,7 +311,7 @@
 	g := newTestGroup(t, 3, 5, 0.01)
 	g.run(3 * time.Second)
 	for i := range 50 {
-		_, _, err := g.leader().node.Propose([]byte(fmt.Sprint(i)))
+		_, _, err := g.leader().node.Propose([]byte(fmt.Sprint(i)), 0)
 		require.NoError(t, err)
 		g.run(20 * time.Millisecond)
 	}
@@ -382,7 +382,7 @@
 				}
 			default:
 				if m := g.leader(); m != nil {
-					_, _, err := m.node.Propose([]byte(fmt.Sprint(g.now)))
+					_, _, err := m.node.Propose([]byte(fmt.Sprint(g.now)), 0)
 					require.NoError(t, err)
 				}
 			}
--- a/coordination/quorum/read_test.go
+++ b/coordination/quorum/read_test.go
@@ -69,7 +69,7 @@
 				g.isolate(pick().id, false)
 			default:
 				if m := g.leader(); m != nil {
-					_, _, err := m.node.Propose([]byte(fmt.Sprint(g.now)))
+					_, _, err := m.node.Propose([]byte(fmt.Sprint(g.now)), 0)
 					require.NoError(t, err)
 				}
 			}
@@ -123,6 +123,36 @@
 	}
 }
 
+// TestElectionWithMajority starts nodes one after the other, as machines come back after a
+// loss of power: a leader must be elected soon after the start of the node that completes
+// a majority, however long the others have waited for it.
+func TestElectionWithMajority(t *testing.T) {
+	const limit = 100 * time.Millisecond
+	for _, n := range []int{3, 4, 6, 8} {
+		for seed := range uint64(30) {
+			g := newTestGroupWithTiming(t, n, seed, 0, noLease)
+			g.run(3 * time.Second)
+			for _, id := range g.order {
+				g.crash(g.members[id])
+			}
+			g.inFlight = nil
+			g.rng.Shuffle(n, func(i, j int) { g.order[i], g.order[j] = g.order[j], g.order[i] })
+			for i, id := range g.order[:n/2+1] {
+				if i > 0 {
+					g.run(time.Duration(g.rng.IntN(300)) * time.Millisecond)
+				}
+				require.Nil(t, g.leader())
+				g.start(g.members[id])
+			}
+			began := g.now
+			for g.leader() == nil && g.now-began < int64(5*time.Second) {
+				g.run(5 * time.Millisecond)
+			}
+			require.LessOrEqual(t, time.Duration(g.now-began), limit, "%d nodes, seed %d", n, seed)
+		}
+	}
+}
+
 // TestSyncedOnlyOnceCaughtUp checks that a member that missed entries isn't synced
 // after a leader's message alone, but only once it has all committed entries.
 func TestSyncedOnlyOnceCaughtUp(t *testing.T) {
@@ -132,7 +162,7 @@
 	behind := g.members[lead.id%3+1]
 	g.crash(behind)
 	for i := range 400 {
-		_, _, err := lead.node.Propose([]byte(fmt.Sprint(i)))
+		_, _, err := lead.node.Propose([]byte(fmt.Sprint(i)), 0)
 		require.NoError(t, err)
 	}
 	g.run(time.Second)
