--- a/control/core/document_test.go
+++ b/control/core/document_test.go
@@ -304,8 +304,11 @@
 		}, 3, "c", false},
 		{"the last one counts", []quorum.Entry{{Index: 1, Data: document(1, doc(5, "a")), Key: documentKey}, {Index: 2, Data: unreadable, Key: documentKey}}, 1, "", true},
 		{"other entries between", []quorum.Entry{
-			{Index: 1, Data: unreadable, Key: documentKey}, {Index: 2, Kind: quorum.EntryNoop}, {Index: 3, Data: encode(cluster.Change{Version: 2})},
-			{Index: 4, Data: document(3, doc(7, "c")), Key: documentKey}, {Index: 5, Data: encode(cluster.Change{Version: 4})},
+			{Index: 1, Data: unreadable, Key: documentKey},
+			{Index: 2, Kind: quorum.EntryNoop},
+			{Index: 3, Data: encode(cluster.Change{Version: 2})},
+			{Index: 4, Data: document(3, doc(7, "c")), Key: documentKey},
+			{Index: 5, Data: encode(cluster.Change{Version: 4})},
 		}, 4, "c", false},
 		{"without keys, as older versions wrote them", []quorum.Entry{{Index: 1, Data: document(1, doc(5, "a"))}, {Index: 2, Data: document(2, doc(7, "c"))}}, 2, "c", false},
 	}
