follow, rpc, control: entry instances find a control instance sooner after a restart of all

Before they were ready they went on to their own zone's control instance, or left one that had waited 200 ms for an election, counted from before the connection: each time the whole directory came again, 30 to 50 ms of an entry instance's processor share. Logging 414 backend servers took a third of that. On the control side the crowd of new streams delayed the election, partly by garbage collection.

The row "before the first document" of TestContactTimeouts follows startContactTimeout, with a row more on either side: a switch costs another directory, which the trace shows to be dearer than the wait. Backend servers without anything unusual are logged by control alone before readiness; the line "ready" says how many are known. A control instance collects no garbage below 32 MB until it has been in contact, for 5 s at most.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -40,6 +40,8 @@
 const (
 	joinInterval      = 200 * time.Millisecond
 	bootstrapInterval = 200 * time.Millisecond
+	contactInterval   = 500 * time.Millisecond
+	startTimeout      = 5 * time.Second
 )
 
 // daemon runs a control instance. Its creator sets cfg, log and bootstrap; the method
@@ -53,6 +55,9 @@
 	identity  *journal.Identity
 	dir       *disk.Dir
 	clock     *clock.System
+	// started is called once the instance has been in contact with a leader, or when it
+	// has waited startTimeout for one.
+	started func()
 	// seedAddrs are the current seeds, which change when the settings are reloaded.
 	seedAddrs atomic.Pointer[[]string]
 }
@@ -209,6 +214,7 @@
 	c.Start(ctx, g)
 	g.Go(func() error { return rpc.Serve(ctx, l, mux) })
 	g.Go(func() error { return d.keepJoined(ctx, c, voters) })
+	g.Go(func() error { return d.awaitContact(ctx, streams) })
 	reg := metrics.NewRegistry()
 	if d.cfg.Metrics != "" {
 		g.Go(func() error { return d.serveMetrics(ctx, c, reg) })
@@ -223,6 +229,22 @@
 	return nil
 }
 
+// awaitContact calls d.started once the instance is in contact with a leader, but after
+// startTimeout at the latest.
+func (d *daemon) awaitContact(ctx context.Context, streams *follow.Server) error {
+	ticker := time.NewTicker(contactInterval)
+	defer ticker.Stop()
+	for waited := time.Duration(0); waited < startTimeout && !streams.InContact(); waited += contactInterval {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	d.started()
+	return nil
+}
+
 // keepJoined requests to join, at an interval, while this instance isn't a voter with
 // its own name and addresses. It also does so while the instance is out of contact
 // with a leader, since it may have been removed in that time.
--- a/control/cmd/catkinrail-control/main.go
+++ b/control/cmd/catkinrail-control/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -20,6 +21,22 @@
 	os.Exit(run())
 }
 
+// startHeap is the size in bytes up to which the heap grows without garbage collection
+// while the instance starts. After a loss of power hundreds of entry instances connect to
+// it at once, and collecting what their streams allocate would delay the election.
+const startHeap = 32 << 20
+
+// deferCollection turns garbage collection off up to startHeap. The returned function
+// restores the defaults.
+func deferCollection() (restore func()) {
+	percent := debug.SetGCPercent(-1)
+	limit := debug.SetMemoryLimit(startHeap)
+	return func() {
+		debug.SetMemoryLimit(limit)
+		debug.SetGCPercent(percent)
+	}
+}
+
 func run() int {
 	app := kingpin.New("catkinrail-control", "Runs a control instance.\n\nExit codes: 0 after a shutdown, 1 if it failed, 2 if the settings are wrong.")
 	bootstrap := app.Flag("bootstrap", "Begin a new cluster. All peers must be started with it, on empty data folders.").Bool()
@@ -47,6 +64,7 @@
 	d := &daemon{cfg: &cfg, log: log, bootstrap: *bootstrap || cfg.firstStart}
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	d.started = deferCollection()
 	g.Go(func() error { return d.run(ctx, g) })
 	if file != nil {
 		g.Go(func() error {
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -156,6 +156,11 @@
 	}
 }
 
+// NumBackends returns the number of known incarnations.
+func (e *Engine) NumBackends() int {
+	return len(e.backends)
+}
+
 // Backends returns the known incarnations by name.
 func (e *Engine) Backends() map[string]catkinrail.Incarnation {
 	list := make(map[string]catkinrail.Incarnation, len(e.backends))
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -32,9 +33,13 @@
 	// contactTimeout is how long a control instance may be out of contact with its
 	// leader before another one is tried. It allows for one or two elections.
 	contactTimeout = 1200 * time.Millisecond
+	// startContactTimeout replaces contactTimeout before this instance is ready. After a
+	// restart of all control instances it leaves time for an election: another stream
+	// would begin with the whole directory again.
+	startContactTimeout = 500 * time.Millisecond
 	// minFirstContactTimeout is the initial value of the timeout that replaces
-	// contactTimeout before this instance is ready, and for a control instance that
-	// has not been in contact with a leader since the stream began. Another one
+	// contactTimeout for a control instance that has not been in contact with a leader
+	// since the stream began. Another one
 	// probably is, and several in a row that are not must leave time to apply a change
 	// within its limit of 3 s.
 	minFirstContactTimeout = 200 * time.Millisecond
@@ -46,6 +51,9 @@
 	// stream from another control instance is closed to return to this zone's. One that
 	// has stalled must not be retried every second.
 	returnDelay = 5 * time.Second
+	// minReturnDelay is the least delay after this instance has become ready. It is random
+	// up to returnDelay, since many instances become ready together.
+	minReturnDelay = time.Second
 	// minBackoff and maxBackoff limit the mean delay after a failed attempt; jitter
 	// changes it by up to half. They are short because service depends on this delay
 	// after all instances have failed.
@@ -72,8 +80,8 @@
 	// attempt counts the attempts outside this instance's zone; it selects the next
 	// address.
 	attempt int
-	// ownZoneEndedAt is the time at which the last stream from this zone ended.
-	ownZoneEndedAt time.Time
+	// returnAt is the time from which to return to this zone's control instance.
+	returnAt time.Time
 	// resume is the point that the last stream reached; resumeAddr is the address of
 	// that stream's control instance.
 	resume     message.ResumePoint
@@ -111,13 +119,11 @@
 	for ctx.Err() == nil {
 		// After a stream from this zone's control instance, for whatever reason it
 		// ended, the others are tried before it.
-		var addr string
-		addr, own = c.chooseAddr(own)
-		s := &session{client: c, addr: addr, ownZone: own}
+		s := &session{client: c, addrs: c.chooseAddrs(own)}
 		err := s.run(ctx)
 		c.recordEnd(s)
-		if own {
-			c.recordOwnZoneEnd()
+		if own = c.inOwnZone(cmp.Or(s.addr, s.addrs[0])); own {
+			c.delayReturn(returnDelay)
 		}
 		if s.stateUpdates > 0 {
 			backoff = minBackoff
@@ -126,7 +132,7 @@
 			continue
 		}
 		if s.stateUpdates > 0 {
-			c.log.Warn(err).Str("control", addr).Int("updates", s.stateUpdates).Msg("control instance lost")
+			c.log.Warn(err).Str("control", s.addr).Int("updates", s.stateUpdates).Msg("control instance lost")
 		}
 		clock.Sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
@@ -198,18 +204,35 @@
 	}
 }
 
-// chooseAddr returns the address of the control instance to follow: the one in this
-// zone, or, if there is none or it is to be avoided, one of the others in turn.
-func (c *Client) chooseAddr(avoidOwn bool) (addr string, own bool) {
+// chooseAddrs returns the addresses of the control instances to try, in order. Once this
+// instance is ready, that is only one: the one in this zone, or, if there is none or it is
+// to be avoided, one of the others in turn. Before, any will do, whichever answers first.
+func (c *Client) chooseAddrs(avoidOwn bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ownAddr := c.ownZoneAddr()
-	if ownAddr != "" && !avoidOwn {
-		return ownAddr, true
+	own := c.ownZoneAddr()
+	others := c.addrsExcept(own)
+	if len(others) == 0 || (own != "" && !avoidOwn && c.Ready()) {
+		return []string{own}
+	}
+	c.attempt++
+	first := c.attempt % len(others)
+	if c.Ready() {
+		return others[first : first+1]
 	}
+	list := slices.Concat(others[first:], others[:first])
+	if own != "" && !avoidOwn {
+		list = slices.Insert(list, 0, own)
+	}
+	return list
+}
+
+// addrsExcept returns the known addresses of control instances other than the given one.
+// The caller holds mu.
+func (c *Client) addrsExcept(own string) []string {
 	var list []string
 	add := func(addr string) {
-		if addr != ownAddr && !slices.Contains(list, addr) {
+		if addr != own && !slices.Contains(list, addr) {
 			list = append(list, addr)
 		}
 	}
@@ -219,11 +242,14 @@
 	for _, seed := range c.seeds {
 		add(seed)
 	}
-	if len(list) == 0 {
-		return ownAddr, true
-	}
-	c.attempt++
-	return list[c.attempt%len(list)], false
+	return list
+}
+
+// inOwnZone reports whether the address is that of the control instance in this zone.
+func (c *Client) inOwnZone(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return addr != "" && addr == c.ownZoneAddr()
 }
 
 // ownZoneAddr returns the address of a control instance in this zone, or an empty
@@ -246,18 +272,19 @@
 	c.peers = peers
 }
 
-// recordOwnZoneEnd records the time at which a stream from this zone ended.
-func (c *Client) recordOwnZoneEnd() {
+// delayReturn sets the time before which not to return to this zone's control instance.
+func (c *Client) delayReturn(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ownZoneEndedAt = c.clock.Now()
+	c.returnAt = c.clock.Now().Add(d)
 }
 
 // shouldReturn reports whether to switch from the address to this zone's control
-// instance: it is another one, and its last stream ended over returnDelay ago.
+// instance: it is another one, this instance is ready, since another stream would begin
+// with the whole directory again, and the delay is over.
 func (c *Client) shouldReturn(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own := c.ownZoneAddr()
-	return own != "" && own != addr && c.clock.Now().Sub(c.ownZoneEndedAt) > returnDelay
+	return c.Ready() && own != "" && own != addr && c.clock.Now().After(c.returnAt)
 }
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -30,7 +30,7 @@
 	return New("entry-1", zone, seeds, nil, clk, r, logs.Discard()), r
 }
 
-func TestChooseAddr(t *testing.T) {
+func TestChooseAddrs(t *testing.T) {
 	peers := []quorum.Peer{{Addr: "a:1", Zone: "a"}, {Addr: "b:1", Zone: "b"}}
 	tests := []struct {
 		name     string
@@ -49,14 +49,25 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c, _ := newClient(tt.zone, "s:1", "s:2")
 			c.setPeers(tt.peers)
+			c.synced.Store(true)
 			seen := map[string]bool{}
 			for range 20 {
-				addr, own := c.chooseAddr(tt.avoidOwn)
-				require.Equal(t, tt.own, own)
-				require.Contains(t, tt.among, addr)
-				seen[addr] = true
+				list := c.chooseAddrs(tt.avoidOwn)
+				require.Len(t, list, 1)
+				require.Equal(t, tt.own, c.inOwnZone(list[0]))
+				require.Contains(t, tt.among, list[0])
+				seen[list[0]] = true
 			}
 			require.Len(t, seen, len(tt.among), "each address is tried")
+			c.synced.Store(false)
+			first := map[string]bool{}
+			for range 20 {
+				list := c.chooseAddrs(tt.avoidOwn)
+				require.Subset(t, list, tt.among, "before readiness all are tried at once")
+				require.Equal(t, tt.own, c.inOwnZone(list[0]))
+				first[list[0]] = true
+			}
+			require.Len(t, first, len(tt.among), "each is tried first")
 		})
 	}
 }
@@ -73,9 +84,11 @@
 	c, _ := newClient("a", "s:1")
 	c.clock = clk
 	c.setPeers([]quorum.Peer{{Addr: "a:1", Zone: "a"}, {Addr: "b:1", Zone: "b"}})
+	require.False(t, c.shouldReturn("b:1"), "not ready yet")
+	c.synced.Store(true)
 	require.True(t, c.shouldReturn("b:1"), "no stream from this zone yet")
 	require.False(t, c.shouldReturn("a:1"))
-	c.recordOwnZoneEnd()
+	c.delayReturn(returnDelay)
 	tests := []struct {
 		after time.Duration
 		want  bool
@@ -100,7 +113,9 @@
 		{"contact lost for too long", true, true, contactTimeout + time.Millisecond, true},
 		{"never in contact", true, false, minFirstContactTimeout + time.Millisecond, true},
 		{"not in contact yet", true, false, minFirstContactTimeout - time.Millisecond, false},
-		{"before the first document", false, true, minFirstContactTimeout + time.Millisecond, true},
+		{"before the first document", false, false, startContactTimeout + time.Millisecond, true},
+		{"before the first document, contact lost", false, true, startContactTimeout + time.Millisecond, true},
+		{"before the first document, during an election", false, false, startContactTimeout - time.Millisecond, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"storj.io/drpc"
@@ -15,15 +16,16 @@
 
 // session is one stream from a control instance.
 type session struct {
-	client  *Client
-	addr    string
-	ownZone bool
+	client *Client
+	// addrs are the addresses to try; addr is the one that answered, empty if none did.
+	addrs []string
+	addr  string
 	// received is set after the first update.
 	received bool
 	// stateUpdates counts the updates that carry the sender's state.
 	stateUpdates int
 	// lastContact is the time of the last update that the control instance sent while
-	// in contact with its leader; at first, the start of the stream.
+	// in contact with its leader; at first, the time of the connection.
 	lastContact time.Time
 	// hadContact is set after the first such update.
 	hadContact bool
@@ -36,9 +38,13 @@
 	defer cancel()
 	timer := time.AfterFunc(s.nextUpdateTimeout(), cancel)
 	defer timer.Stop()
-	s.lastContact = s.client.clock.Now()
-	cl := rpc.NewClient(s.addr, s.client.creds)
+	cl, err := rpc.Connect(ctx, s.addrs, s.client.creds)
+	if err != nil {
+		return err
+	}
 	defer cl.Close()
+	s.addr = cl.Addr()
+	s.lastContact = s.client.clock.Now()
 	return cl.Call(ctx, "follow", streamTimeout, func(ctx context.Context, conn drpc.Conn) error {
 		var version uint64
 		s.client.router.Do(func(e *token.Engine, _ int64) { version = e.Version() })
@@ -86,7 +92,10 @@
 func (s *session) shouldSwitch() bool {
 	now := s.client.clock.Now()
 	timeout := contactTimeout
-	if !s.client.Ready() || !s.hadContact {
+	switch {
+	case !s.client.Ready():
+		timeout = startContactTimeout
+	case !s.hadContact:
 		timeout = s.client.firstContactTimeout()
 	}
 	if now.Sub(s.lastContact) > timeout {
@@ -119,13 +128,14 @@
 	}
 	var changed []*token.Backend
 	var version uint64
+	backends := 0
 	newer := false
 	c.router.Do(func(e *token.Engine, now int64) {
 		changed = e.Update(list, now)
 		if u.Document != nil {
 			newer = e.SetDocument(u.Document)
 		}
-		version = e.Version()
+		version, backends = e.Version(), e.NumBackends()
 		if u.Current && u.Complete {
 			e.RecordContact(now)
 		}
@@ -134,6 +144,10 @@
 		c.log.Info().Uint64("version", version).Str("control", s.addr).Msg("document in force")
 	}
 	for _, b := range changed {
+		// Before readiness the whole directory is new. Control logs each backend server.
+		if !c.Ready() && !b.Draining && !b.Gone && !b.Silent() {
+			continue
+		}
 		c.log.Info().Str("backend", b.Name).Str("service", b.Service).Stringer("address", b.Addr).Int64("born", b.StartedAt).
 			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Gone).Bool("silent", b.Silent()).
 			Str("control", s.addr).Msg("backend server changed")
@@ -142,6 +156,7 @@
 		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
 	}
 	if version > 0 && u.Current && u.Complete && !c.synced.Swap(true) {
-		c.log.Info().Uint64("version", version).Int("backends", len(list)).Msg("ready")
+		c.delayReturn(minReturnDelay + rand.N(returnDelay-minReturnDelay))
+		c.log.Info().Uint64("version", version).Int("backends", backends).Msg("ready")
 	}
 }
