--- a/control/cmd/catkinrail-control/main.go
+++ b/control/cmd/catkinrail-control/main.go
@@ -6,7 +6,9 @@
 	"errors"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -27,14 +29,18 @@
 const startHeap = 32 << 20
 
 // deferCollection turns garbage collection off up to startHeap. The returned function
-// restores the defaults.
+// restores the defaults; so does the first collection, since a larger heap would be
+// collected all the time to keep to the limit.
 func deferCollection() (restore func()) {
 	percent := debug.SetGCPercent(-1)
 	limit := debug.SetMemoryLimit(startHeap)
-	return func() {
+	restore = sync.OnceFunc(func() {
 		debug.SetMemoryLimit(limit)
 		debug.SetGCPercent(percent)
-	}
+	})
+	type garbage struct{ next *garbage }
+	runtime.AddCleanup(&garbage{}, func(restore func()) { restore() }, restore)
+	return restore
 }
 
 func run() int {
