--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -33,13 +33,9 @@
 	// contactTimeout is how long a control instance may be out of contact with its
 	// leader before another one is tried. It allows for one or two elections.
 	contactTimeout = 1200 * time.Millisecond
-	// startContactTimeout replaces contactTimeout before this instance is ready. After a
-	// restart of all control instances it leaves time for an election: another stream
-	// would begin with the whole directory again.
-	startContactTimeout = 500 * time.Millisecond
 	// minFirstContactTimeout is the initial value of the timeout that replaces
-	// contactTimeout for a control instance that has not been in contact with a leader
-	// since the stream began. Another one
+	// contactTimeout before this instance is ready, and for a control instance that
+	// has not been in contact with a leader since the stream began. Another one
 	// probably is, and several in a row that are not must leave time to apply a change
 	// within its limit of 3 s.
 	minFirstContactTimeout = 200 * time.Millisecond
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -113,9 +113,8 @@
 		{"contact lost for too long", true, true, contactTimeout + time.Millisecond, true},
 		{"never in contact", true, false, minFirstContactTimeout + time.Millisecond, true},
 		{"not in contact yet", true, false, minFirstContactTimeout - time.Millisecond, false},
-		{"before the first document", false, false, startContactTimeout + time.Millisecond, true},
-		{"before the first document, contact lost", false, true, startContactTimeout + time.Millisecond, true},
-		{"before the first document, during an election", false, false, startContactTimeout - time.Millisecond, false},
+		{"before the first document", false, true, minFirstContactTimeout + time.Millisecond, true},
+		{"before the first document, during an election", false, false, minFirstContactTimeout - time.Millisecond, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -92,10 +92,7 @@
 func (s *session) shouldSwitch() bool {
 	now := s.client.clock.Now()
 	timeout := contactTimeout
-	switch {
-	case !s.client.Ready():
-		timeout = startContactTimeout
-	case !s.hadContact:
+	if !s.client.Ready() || !s.hadContact {
 		timeout = s.client.firstContactTimeout()
 	}
 	if now.Sub(s.lastContact) > timeout {
--- a/scripts/regress.sh
+++ b/scripts/regress.sh
@@ -38,7 +38,7 @@
 git show "HEAD:$table" >out/regress/before.tsv 2>/dev/null || : >out/regress/before.tsv
 awk -F '\t' '
 	BEGIN { printf "%-24s %-10s %8s %8s  %s\n", "site", "day", "before", "now", "broken" }
-	FNR == NR { before[$1 "\t" $2] = $3; next }
+	FILENAME == ARGV[1] { before[$1 "\t" $2] = $3; next }
 	{
 		old = ($1 "\t" $2) in before ? before[$1 "\t" $2] : "-"
 		printf "%-24s %-10s %8s %8s  %s\n", $1, $2, old, $3, $4
