--- a/emulator/cmd/catkinrail-emulator/platform_run.go
+++ b/emulator/cmd/catkinrail-emulator/platform_run.go
@@ -103,7 +103,7 @@
 	routes := []standin.Route{
 		{Listen: netip.MustParseAddrPort("198.18.0.1:8443"), Service: "feed"},
 		{Listen: netip.MustParseAddrPort("198.18.0.1:8080"), Service: "booking"},
-		{Listen: netip.MustParseAddrPort("198.18.0.1:8081"), Service: "booking", Kind: "upload"},
+		{Listen: netip.MustParseAddrPort("198.18.0.1:8081"), Service: "booking", Kind: p.uploadKind()},
 	}
 	g, ctx := errgroup.WithContext(ctx)
 	for _, r := range routes[:uploadRoute] {
@@ -129,6 +129,15 @@
 	return p.report()
 }
 
+// uploadKind returns the kind of the route for uploads. Older control instances refuse
+// documents with the kind "upload", and the demo also runs beside them.
+func (p *platformRun) uploadKind() string {
+	if p.seed != 0 {
+		return "upload"
+	}
+	return "unsafe"
+}
+
 // startBackend starts a backend server of the service.
 func (p *platformRun) startBackend(ctx context.Context, g *errgroup.Group, service string) {
 	p.mu.Lock()
