interfaces: limits, priorities, evacuations and load reports in the state and on the wire

Cause: documents' priorities and limits of services weren't read, and nothing carried evacuations or loads between control and entry instances.

Change: Route.Priority, Document.Limits, cluster.State.Evacuations with its event, the evacuations in entry instances' streams, and the messages LoadReport and LoadReply.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -20,6 +20,7 @@
 	"catkinrail.example/catkinrail/control/entry"
 	"catkinrail.example/catkinrail/control/follow"
 	"catkinrail.example/catkinrail/control/gossip"
+	"catkinrail.example/catkinrail/control/load"
 	"catkinrail.example/catkinrail/control/operator"
 	"catkinrail.example/catkinrail/control/voter"
 	"catkinrail.example/catkinrail/coordination/message"
@@ -205,7 +206,7 @@
 	streams := follow.New(c, dir, clk, d.log)
 	mux := drpcmux.New()
 	err = errors.Join(
-		control.DRPCRegisterControl(mux, entry.New(c, dir, streams)),
+		control.DRPCRegisterControl(mux, entry.New(c, dir, streams, load.New())),
 		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, clk)),
 	)
 	if err != nil {
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/state/cluster"
 )
@@ -15,6 +16,8 @@
 type PublishedState struct {
 	// Document is the document at the applied index, nil before the first.
 	Document *catkinrail.Document
+	// Evacuations are those at the applied index, nil before the first order.
+	Evacuations *catkinrail.Evacuations
 	// Applied is the index of the last entry that was applied.
 	Applied uint64
 	Members *quorum.Members
@@ -36,7 +39,7 @@
 	}
 	c.publishedMembersIndex = c.node.MembersIndex()
 	s := &PublishedState{
-		Document: c.state.Document, Applied: c.node.AppliedIndex(), Members: c.node.Members(),
+		Document: c.state.Document, Evacuations: c.state.Evacuations, Applied: c.node.AppliedIndex(), Members: c.node.Members(),
 		Node: c.node.ID(), Leader: c.node.LeaderID(), Term: c.node.Term(),
 	}
 	c.published.Store(s)
@@ -46,7 +49,7 @@
 	close(*c.advanced.Swap(newSignal()))
 }
 
-// logChange logs a change of the leader, the document or the members.
+// logChange logs a change of the leader, the document, the evacuations or the members.
 func (c *Core) logChange(old, s *PublishedState) {
 	if old.Leader != s.Leader || old.Term != s.Term {
 		c.cfg.Log.Info().Uint64("term", s.Term).Str("leader", s.Members.Nodes[s.Leader].Name).
@@ -56,6 +59,10 @@
 		c.cfg.Log.Info().Uint64("version", s.Document.Version).Uint64("applied", s.Applied).
 			Int("routes", len(s.Document.Routes)).Msg("document in force")
 	}
+	if old.Evacuations != s.Evacuations && s.Evacuations != nil {
+		c.cfg.Log.Info().Uint64("revision", s.Evacuations.Revision).Uint64("applied", s.Applied).
+			Interface("zones", s.Evacuations.Zones).Msg("evacuations in force")
+	}
 	if !slices.Equal(cluster.SortedKeys(old.Members.Nodes), cluster.SortedKeys(s.Members.Nodes)) ||
 		old.Members.Voters() != s.Members.Voters() {
 		c.cfg.Log.Info().Int("voters", s.Members.Voters()).Int("members", len(s.Members.Nodes)).
@@ -103,6 +110,11 @@
 	}
 }
 
+// Evacuate proposes an evacuation order on the leader and waits until it is applied.
+func (c *Core) Evacuate(ctx context.Context, o *plan.EvacuationOrder) error {
+	return c.SubmitEvents(ctx, func(s *cluster.State) ([]cluster.Event, error) { return plan.Evacuate(s, o) })
+}
+
 // pendingRead is a read that waits for a majority to confirm the leader.
 type pendingRead struct {
 	// mark and term identify the read to the node.
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -31,12 +31,18 @@
 	core   *core.Core
 	dir    *gossip.Directory
 	follow *follow.Server
+	loads  LoadService
 }
 
-// New returns a server on top of the core, the directory and the streams to entry
-// instances.
-func New(c *core.Core, dir *gossip.Directory, f *follow.Server) *Server {
-	return &Server{core: c, dir: dir, follow: f}
+// LoadService answers the load reports of entry instances.
+type LoadService interface {
+	Report(r *message.LoadReport) *message.LoadReply
+}
+
+// New returns a server on top of the core, the directory, the streams to entry instances
+// and the shared loads.
+func New(c *core.Core, dir *gossip.Directory, f *follow.Server, loads LoadService) *Server {
+	return &Server{core: c, dir: dir, follow: f, loads: loads}
 }
 
 var _ control.DRPCControlServer = (*Server)(nil)
@@ -137,6 +143,24 @@
 	return encodeReply(&message.ReadIndexReply{Index: index}, withCode(err))
 }
 
+// Evacuate implements control.DRPCControlServer.
+func (s *Server) Evacuate(ctx context.Context, f *control.Frame) (*control.Frame, error) {
+	var order plan.EvacuationOrder
+	if err := decodeRequest(ctx, f, &order, rpc.RoleControl); err != nil {
+		return nil, err
+	}
+	return &control.Frame{}, withCode(s.core.Evacuate(ctx, &order))
+}
+
+// Load implements control.DRPCControlServer.
+func (s *Server) Load(ctx context.Context, f *control.Frame) (*control.Frame, error) {
+	var r message.LoadReport
+	if err := decodeRequest(ctx, f, &r, rpc.RoleEntry); err != nil {
+		return nil, err
+	}
+	return encodeReply(s.loads.Report(&r), nil)
+}
+
 // Gossip implements control.DRPCControlServer.
 func (s *Server) Gossip(ctx context.Context, f *control.Frame) (*control.Frame, error) {
 	var g message.Gossip
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -61,6 +61,8 @@
 	members  *quorum.Members
 	current  bool
 	complete bool
+	// evacuations is the revision of the evacuations that were sent.
+	evacuations uint64
 }
 
 // Serve sends updates to an entry instance until ctx ends or an update fails, and
@@ -125,7 +127,8 @@
 		case <-advanced:
 			advanced = st.core.Advanced()
 			published := st.core.Published()
-			if documentVersion(published) <= st.Document && published.Members == st.members {
+			if documentVersion(published) <= st.Document && published.Members == st.members &&
+				evacuationsRevision(published) <= st.evacuations {
 				continue
 			}
 			if st.awaited() {
@@ -158,6 +161,14 @@
 	return s.Document.Version
 }
 
+// evacuationsRevision returns the revision of the evacuations, or zero if there was no order.
+func evacuationsRevision(s *core.PublishedState) uint64 {
+	if s.Evacuations == nil {
+		return 0
+	}
+	return s.Evacuations.Revision
+}
+
 // update sends what the stream hasn't sent yet, or at least the state if a keep-alive
 // is due. The state comes last, so that an entry instance that receives Complete has
 // everything. It returns a channel that is closed at the next change of the directory.
@@ -177,6 +188,16 @@
 		st.Document = v
 		st.record()
 	}
+	if r := evacuationsRevision(published); r > st.evacuations && current {
+		body, err := cluster.EncodeCompressed(&message.FollowUpdate{Evacuations: published.Evacuations})
+		if err != nil {
+			return nil, err
+		}
+		if err := st.send(body); err != nil {
+			return nil, err
+		}
+		st.evacuations = r
+	}
 	changed, err := st.sendBackends(now)
 	if err != nil {
 		return nil, err
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -173,4 +173,71 @@
 	Complete bool `cbor:"5,keyasint,omitempty"`
 	// Resume is the point up to which this stream has sent everything.
 	Resume ResumePoint `cbor:"7,keyasint,omitempty"`
+	// Evacuations is set if they are newer than those that were sent before.
+	Evacuations *catkinrail.Evacuations `cbor:"8,keyasint,omitempty"`
+}
+
+// LoadReport is what an entry instance observes of the backend servers, sent to the control
+// instance that it follows.
+type LoadReport struct {
+	Name string          `cbor:"1,keyasint"`
+	Zone catkinrail.Zone `cbor:"2,keyasint,omitempty"`
+	// Process is a random number that identifies the entry instance's process; Sequence
+	// orders its reports.
+	Process  uint64 `cbor:"3,keyasint"`
+	Sequence uint64 `cbor:"4,keyasint"`
+	// Servers holds the backend servers that the instance has flows on, all of them in
+	// every report.
+	Servers []ServerLoad `cbor:"5,keyasint,omitempty"`
+	// Known is the revision of the last reply that the instance has applied.
+	Known ResumePoint `cbor:"6,keyasint,omitempty"`
+	// Wants is the number of flows, by service, that the instance would place on cold
+	// backend servers before its next report.
+	Wants map[string]int `cbor:"7,keyasint,omitempty"`
+}
+
+// ServerLoad is the load of one incarnation of a backend server.
+type ServerLoad struct {
+	Token     catkinrail.Token `cbor:"1,keyasint"`
+	StartedAt int64            `cbor:"2,keyasint"`
+	// Pending is the number of requests without an answer and of handshakes that aren't
+	// complete, Flows that of open flows.
+	Pending int `cbor:"3,keyasint,omitempty"`
+	Flows   int `cbor:"4,keyasint,omitempty"`
+	// Latency is the mean time of a request, weighted by the instances' requests; zero if
+	// unknown.
+	Latency time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// ZoneLoad is the load of a service's backend servers in one availability zone.
+type ZoneLoad struct {
+	Zone    catkinrail.Zone `cbor:"1,keyasint"`
+	Service string          `cbor:"2,keyasint"`
+	Slots   int             `cbor:"3,keyasint,omitempty"`
+	Pending int             `cbor:"4,keyasint,omitempty"`
+	Flows   int             `cbor:"5,keyasint,omitempty"`
+	Latency time.Duration   `cbor:"6,keyasint,omitempty"`
+}
+
+// LoadReply answers a LoadReport.
+type LoadReply struct {
+	// Revision is the point that an instance has reached once it has applied the reply.
+	Revision ResumePoint `cbor:"1,keyasint"`
+	// Whole is set if Servers holds all loaded backend servers of the receiver's zone;
+	// otherwise it holds those that changed since the receiver's last reply.
+	Whole bool `cbor:"2,keyasint,omitempty"`
+	// Servers holds the sums over all reporting instances, the receiver included.
+	Servers []ServerLoad `cbor:"3,keyasint,omitempty"`
+	// Zones holds the sums of the other zones.
+	Zones []ZoneLoad `cbor:"4,keyasint,omitempty"`
+	// Instances is the number of entry instances of the receiver's zone that report.
+	Instances int    `cbor:"5,keyasint,omitempty"`
+	Loans     []Loan `cbor:"6,keyasint,omitempty"`
+}
+
+// Loan permits an entry instance to open a number of flows on a cold backend server.
+type Loan struct {
+	Token     catkinrail.Token `cbor:"1,keyasint"`
+	StartedAt int64            `cbor:"2,keyasint"`
+	Flows     int              `cbor:"3,keyasint"`
 }
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -162,6 +162,8 @@
 	endedAt int64
 	// silentSince is the time at which control reported it as silent.
 	silentSince int64
+	// evacuated is set while its zone is evacuated.
+	evacuated bool
 }
 
 // Token returns the token that packets to the backend server carry.
@@ -213,6 +215,8 @@
 	tokens   map[catkinrail.Token]*Backend
 	services map[string][]*Backend
 	flows    map[catkinrail.FlowKey]*flow
+	// evacuations are the zones whose backend servers get no new flows.
+	evacuations catkinrail.Evacuations
 	// lastContact is the time of the last update from a control instance that is in
 	// contact with its leader and has sent all that it knows.
 	lastContact int64
@@ -377,7 +381,7 @@
 		e.candidates = append(e.candidates, place.Candidate{
 			Slots: b.Slots, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.latency,
 			Warmup: time.Duration(max(0, b.warmUntil-now)), Misses: b.misses, SinceMiss: time.Duration(now - b.lastMiss),
-			Silent: b.silent, Draining: b.Draining || b == avoid, Local: b.Zone == e.zone,
+			Silent: b.silent, Draining: b.Draining || b == avoid || b.evacuated, Local: b.Zone == e.zone,
 		})
 	}
 	i := place.Choose(e.candidates, e.rng.Uint64())
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -29,6 +29,23 @@
 	return true
 }
 
+// SetEvacuations puts the evacuations in force if they are newer than the current ones,
+// and reports whether they are.
+func (e *Engine) SetEvacuations(ev *catkinrail.Evacuations) bool {
+	if ev.Revision <= e.evacuations.Revision {
+		return false
+	}
+	e.evacuations = *ev
+	for _, b := range e.backends {
+		b.evacuated = e.isEvacuated(b.Zone)
+	}
+	return true
+}
+
+func (e *Engine) isEvacuated(zone catkinrail.Zone) bool {
+	return slices.Contains(e.evacuations.Zones, zone)
+}
+
 // Version returns the version of the document in force, or zero.
 func (e *Engine) Version() uint64 {
 	if e.document == nil {
@@ -72,6 +89,7 @@
 		if b.apply(in, now) {
 			changed = append(changed, b)
 		}
+		b.evacuated = e.isEvacuated(b.Zone)
 	}
 	if len(changed) > 0 {
 		e.rebuildIndex()
--- a/document.go
+++ b/document.go
@@ -51,6 +51,24 @@
 	// LatencyTarget is the latency up to which a response has its full value.
 	LatencyTarget time.Duration `cbor:"5,keyasint,omitempty"`
 	Targets       []Target      `cbor:"6,keyasint"`
+	// Priority orders the routes of a service when there is too little room for all of
+	// their requests; 0 is the highest.
+	Priority int `cbor:"7,keyasint,omitempty"`
+}
+
+// ServiceLimits holds the limits of a service's backend servers. Zero means no limit.
+type ServiceLimits struct {
+	// MaxFlows is the number of flows that a backend server holds.
+	MaxFlows int `cbor:"1,keyasint,omitempty"`
+	// WarmupTime is the time for which a backend server is cold after its start.
+	WarmupTime time.Duration `cbor:"2,keyasint,omitempty"`
+	// WarmupRate is the number of requests a second that a cold backend server bears.
+	WarmupRate float64 `cbor:"3,keyasint,omitempty"`
+}
+
+// LimitsWarmup reports whether requests to cold backend servers are limited.
+func (l ServiceLimits) LimitsWarmup() bool {
+	return l.WarmupTime > 0 && l.WarmupRate > 0
 }
 
 // Document is a complete configuration that an operator puts as a whole.
@@ -63,6 +81,8 @@
 	IdleTimeout time.Duration `cbor:"4,keyasint,omitempty"`
 	// Source is the document as the operator sent it; reads return it unchanged.
 	Source []byte `cbor:"5,keyasint,omitempty"`
+	// Limits holds the limits of the services that have any, by service.
+	Limits map[string]ServiceLimits `cbor:"6,keyasint,omitempty"`
 }
 
 // maxWeightSum is the largest sum of a route's weights.
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -126,12 +126,15 @@
 	var changed []*token.Backend
 	var version uint64
 	backends := 0
-	newer := false
+	newer, evacuations := false, false
 	c.router.Do(func(e *token.Engine, now int64) {
 		changed = e.Update(list, now)
 		if u.Document != nil {
 			newer = e.SetDocument(u.Document)
 		}
+		if u.Evacuations != nil {
+			evacuations = e.SetEvacuations(u.Evacuations)
+		}
 		version, backends = e.Version(), e.NumBackends()
 		if u.Current && u.Complete {
 			e.RecordContact(now)
@@ -140,6 +143,10 @@
 	if newer {
 		c.log.Info().Uint64("version", version).Str("control", s.addr).Msg("document in force")
 	}
+	if evacuations {
+		c.log.Info().Uint64("revision", u.Evacuations.Revision).Interface("zones", u.Evacuations.Zones).Str("control", s.addr).
+			Msg("evacuations in force")
+	}
 	for _, b := range changed {
 		// Before readiness the whole directory is new. Control logs each backend server.
 		if !c.Ready() && !b.Draining && !b.Gone && !b.Silent() {
--- a/state/cluster/event.go
+++ b/state/cluster/event.go
@@ -28,6 +28,15 @@
 	QuarantineEnded string `cbor:"13,keyasint,omitempty"`
 	// DocumentPut replaces the operator's document.
 	DocumentPut *catkinrail.Document `cbor:"14,keyasint,omitempty"`
+	// ZoneEvacuated begins or ends the evacuation of a zone.
+	ZoneEvacuated *ZoneEvacuated `cbor:"15,keyasint,omitempty"`
+}
+
+// ZoneEvacuated records that an operator ordered the backend servers of an availability
+// zone out of use, or back into use, for new flows.
+type ZoneEvacuated struct {
+	Zone      catkinrail.Zone `cbor:"1,keyasint"`
+	Evacuated bool            `cbor:"2,keyasint,omitempty"`
 }
 
 // ServicePut creates a service or changes its configuration.
--- a/state/cluster/state.go
+++ b/state/cluster/state.go
@@ -32,6 +32,12 @@
 	// Document is the operator's document, nil before the first. It is never
 	// changed in place.
 	Document *catkinrail.Document `cbor:"13,keyasint,omitempty"`
+	// Evacuations are the evacuated zones, sorted; nil before the first order. They are
+	// never changed in place.
+	Evacuations *catkinrail.Evacuations `cbor:"14,keyasint,omitempty"`
+	// EvacuationChanges maps each zone to the version of the last change of its
+	// evacuation.
+	EvacuationChanges map[catkinrail.Zone]uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // New returns the empty state at version zero.
@@ -61,6 +67,9 @@
 	if s.Quarantine == nil {
 		s.Quarantine = map[string]uint64{}
 	}
+	if s.EvacuationChanges == nil {
+		s.EvacuationChanges = map[catkinrail.Zone]uint64{}
+	}
 }
 
 // GapError reports a change that doesn't follow the state's version.
@@ -129,6 +138,8 @@
 		delete(s.Quarantine, e.QuarantineEnded)
 	case e.DocumentPut != nil:
 		s.Document = e.DocumentPut
+	case e.ZoneEvacuated != nil:
+		s.setEvacuated(e.ZoneEvacuated)
 	}
 }
 
@@ -181,6 +192,32 @@
 	delete(s.LostZones, z.Zone)
 }
 
+// setEvacuated begins or ends the evacuation of a zone.
+func (s *State) setEvacuated(z *ZoneEvacuated) {
+	next := &catkinrail.Evacuations{Revision: s.Version}
+	if s.Evacuations != nil {
+		next.Zones = slices.Clone(s.Evacuations.Zones)
+	}
+	i, found := slices.BinarySearch(next.Zones, z.Zone)
+	switch {
+	case z.Evacuated && !found:
+		next.Zones = slices.Insert(next.Zones, i, z.Zone)
+	case !z.Evacuated && found:
+		next.Zones = slices.Delete(next.Zones, i, i+1)
+	}
+	s.Evacuations = next
+	s.EvacuationChanges[z.Zone] = s.Version
+}
+
+// Evacuated reports whether a zone is evacuated.
+func (s *State) Evacuated(zone catkinrail.Zone) bool {
+	if s.Evacuations == nil {
+		return false
+	}
+	_, found := slices.BinarySearch(s.Evacuations.Zones, zone)
+	return found
+}
+
 // FindAnswer returns the answer to an operator's request, or nil.
 func (s *State) FindAnswer(request string) *Answer {
 	for i := len(s.Answers) - 1; i >= 0; i-- {
