load: share the load that entry instances observe through control instances

An entry instance places by its own flows only: in a zone of 42 entry instances a full backend server looks idle to it.

Where a document calls for it (routes of one service that differ in priority, or a latency target), entry instances now report their flows and requests by backend server to the control instance that they follow, every 250 ms, and get the sums back: rows of their own zone as deltas, totals of the other zones. Control instances send each other their followers' sums with the directory's renewals. All of it is soft state that expires after 1 s. place.Candidate has the others' load; Choose doesn't use it yet.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -204,9 +204,11 @@
 		SilentAfter: d.cfg.SilentAfter, Members: func() *quorum.Members { return c.Published().Members }, Dir: d.dir,
 	})
 	streams := follow.New(c, dir, clk, d.log)
+	loads := load.New(d.cfg.Address, rand.Uint64(), dir, clk)
+	dir.ExchangeLoads(loads)
 	mux := drpcmux.New()
 	err = errors.Join(
-		control.DRPCRegisterControl(mux, entry.New(c, dir, streams, load.New())),
+		control.DRPCRegisterControl(mux, entry.New(c, dir, streams, loads)),
 		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, clk)),
 	)
 	if err != nil {
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -37,6 +37,9 @@
 // LoadService answers the load reports of entry instances.
 type LoadService interface {
 	Report(r *message.LoadReport) *message.LoadReply
+	// Leave removes the load of an entry instance that no longer follows this control
+	// instance.
+	Leave(name string)
 }
 
 // New returns a server on top of the core, the directory, the streams to entry instances
@@ -180,9 +183,13 @@
 	if err := decodeRequest(stream.Context(), f, &req, rpc.RoleEntry); err != nil {
 		return err
 	}
-	return s.follow.Serve(stream.Context(), &req, func(body []byte) error {
+	err := s.follow.Serve(stream.Context(), &req, func(body []byte) error {
 		return stream.Send(&control.Frame{Body: body})
 	})
+	if !s.follow.Follows(req.Name) {
+		s.loads.Leave(req.Name)
+	}
+	return err
 }
 
 // decodeRequest checks the client's role and decodes the frame's body into v. Its
--- a/control/follow/followers.go
+++ b/control/follow/followers.go
@@ -29,6 +29,18 @@
 	return list
 }
 
+// Follows reports whether an entry instance follows this one.
+func (s *Server) Follows(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.streams {
+		if f.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // record publishes the stream's current state for Followers.
 func (st *stream) record() {
 	st.mu.Lock()
--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -76,10 +76,21 @@
 	lastTick int64
 	// exchanged is set once this instance has received a peer's whole directory.
 	exchanged bool
+	// loads is nil if no loads are exchanged.
+	loads Loads
 	// peersKnown is set once the list of peers has been read for the first time.
 	peersKnown bool
 }
 
+// Loads are the loads of backend servers, which control instances exchange together with
+// their directories.
+type Loads interface {
+	// Share returns the message to the control instance at an address in a zone, or nil if
+	// there is no load to share.
+	Share(addr, zone string) *message.LoadShare
+	Merge(m *message.LoadShare)
+}
+
 var _ catkinrail.BackendRegistry = (*Directory)(nil)
 
 // New returns a directory that is restored from disk if it has been saved.
@@ -89,6 +100,12 @@
 	return d
 }
 
+// ExchangeLoads makes the directory exchange loads with the other control instances. It
+// must be called before Start.
+func (d *Directory) ExchangeLoads(l Loads) {
+	d.loads = l
+}
+
 func (d *Directory) now() int64 {
 	return d.cfg.Clock.Now().UnixNano()
 }
@@ -146,6 +163,10 @@
 
 // Gossip handles a message from another control instance and returns the reply.
 func (d *Directory) Gossip(g *message.Gossip) *message.GossipReply {
+	if g.Load != nil && d.loads != nil {
+		// Loads read the directory, so that the lock must not be held.
+		d.loads.Merge(g.Load)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -34,6 +34,8 @@
 	// mismatches counts the replies that reported a difference since the last
 	// matching digest or exchange of the whole directories.
 	mismatches int
+	// lastLoad is the time of the last message with loads.
+	lastLoad int64
 	// lastDigest is the time of the last comparison of digests.
 	lastDigest int64
 }
@@ -105,6 +107,12 @@
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		g, revision, changed := d.composeMessage(p)
+		if l := d.shareLoad(p); l != nil {
+			if g == nil {
+				g = &message.Gossip{}
+			}
+			g.Load = l
+		}
 		if g != nil {
 			d.recordResult(p, revision, d.call(ctx, client, p, g))
 		}
@@ -142,11 +150,30 @@
 		g.Digest = d.dir.Digest()
 	}
 	if !g.Full && len(g.Changed) == 0 && len(g.Renewals) == 0 && g.Digest == 0 && p.reached {
-		return nil, 0, d.changed
+		return nil, d.dir.Revision(), d.changed
 	}
 	return g, d.dir.Revision(), d.changed
 }
 
+// shareLoad returns the load to send to a peer, or nil if there is none or it isn't due:
+// messages about changes of the directory may follow each other much faster.
+func (d *Directory) shareLoad(p *peer) *message.LoadShare {
+	if d.loads == nil {
+		return nil
+	}
+	d.mu.Lock()
+	now, zone := d.now(), p.zone
+	due := now-p.lastLoad >= int64(renewalInterval-batchDelay)
+	if due {
+		p.lastLoad = now
+	}
+	d.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return d.loads.Share(p.addr, zone)
+}
+
 func (d *Directory) call(ctx context.Context, client *rpc.Client, p *peer, g *message.Gossip) error {
 	body, err := cluster.EncodeCompressed(g)
 	if err != nil {
--- a/control/load/server.go
+++ b/control/load/server.go
@@ -1,18 +1,122 @@
 // Package load combines what entry instances observe of the backend servers and returns
-// the sums to them.
+// the sums to them. It exchanges the sums with the other control instances.
 package load
 
-import "catkinrail.example/catkinrail/coordination/message"
+import (
+	"sync"
+	"time"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/load"
+	"catkinrail.example/catkinrail/coordination/message"
+	"catkinrail.example/catkinrail/state/directory"
+)
+
+// rebuildInterval is the time between two comparisons with the whole directory, which
+// doesn't announce that it has expired an entry.
+const rebuildInterval = time.Minute
+
+// Directory is the directory of backend servers. It is called with the server's lock held.
+type Directory interface {
+	// Since returns the incarnations that changed after a revision and the revision of
+	// the last change.
+	Since(revision uint64) (list []directory.View, at uint64, changed <-chan struct{})
+}
 
 // Server answers the load reports of the entry instances that follow this control instance.
-type Server struct{}
+// It is safe for concurrent use.
+type Server struct {
+	dir   Directory
+	clock catkinrail.Clock
 
-// New returns a server without reports.
-func New() *Server {
-	return &Server{}
+	mu    sync.Mutex
+	table *load.Table
+	// revision is that of the directory up to which the table knows the backend servers;
+	// keys are their keys by name.
+	revision uint64
+	keys     map[string]load.Key
+	rebuilt  time.Time
+}
+
+// New returns a server without reports. Self is the control instance's address, process a
+// random number that identifies its process.
+func New(self string, process uint64, dir Directory, clock catkinrail.Clock) *Server {
+	return &Server{dir: dir, clock: clock, table: load.NewTable(self, process), keys: map[string]load.Key{}, rebuilt: clock.Now()}
 }
 
 // Report records an entry instance's report and returns the sums of all reports.
-func (s *Server) Report(*message.LoadReport) *message.LoadReply {
-	return &message.LoadReply{}
+func (s *Server) Report(r *message.LoadReport) *message.LoadReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Report(r, s.prepare())
+}
+
+// Leave removes the part of an entry instance that no longer follows this control instance.
+func (s *Server) Leave(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Remove(name)
+}
+
+// Share returns the message to the control instance at an address, or nil if there is no
+// load to share.
+func (s *Server) Share(addr, zone string) *message.LoadShare {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Share(addr, catkinrail.Zone(zone), s.prepare())
+}
+
+// Merge records a message from another control instance.
+func (s *Server) Merge(m *message.LoadShare) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Merge(m, s.prepare())
+}
+
+// prepare brings the table's backend servers up to date and returns the time. The caller
+// holds mu.
+func (s *Server) prepare() int64 {
+	now := s.clock.Now()
+	if now.Sub(s.rebuilt) > rebuildInterval {
+		s.rebuild(now)
+	}
+	list, at, _ := s.dir.Since(s.revision)
+	for i := range list {
+		s.update(&list[i])
+	}
+	s.revision = at
+	return now.UnixNano()
+}
+
+// rebuild removes the backend servers that the directory no longer has.
+func (s *Server) rebuild(now time.Time) {
+	s.rebuilt = now
+	list, _, _ := s.dir.Since(0)
+	found := make(map[string]bool, len(list))
+	for i := range list {
+		found[list[i].Name] = true
+	}
+	for name, k := range s.keys {
+		if !found[name] {
+			delete(s.keys, name)
+			s.table.RemoveServer(k)
+		}
+	}
+}
+
+func (s *Server) update(v *directory.View) {
+	k := load.Key{Token: v.Token(), StartedAt: v.StartedAt}
+	if old, ok := s.keys[v.Name]; ok && (old != k || v.Gone) {
+		delete(s.keys, v.Name)
+		s.table.RemoveServer(old)
+	}
+	if v.Gone {
+		return
+	}
+	server := load.Server{Key: k, Zone: v.Zone, Service: v.Service, Slots: v.Slots}
+	if v.Draining || v.Silent {
+		server.Slots = 0
+	}
+	s.keys[v.Name] = k
+	s.table.SetServer(server)
 }
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -116,6 +116,8 @@
 	// Full is set if Changed is the sender's whole directory. It asks for the
 	// receiver's whole directory in return.
 	Full bool `cbor:"4,keyasint,omitempty"`
+	// Load holds the load that the sender's entry instances observe, if there is any.
+	Load *LoadShare `cbor:"5,keyasint,omitempty"`
 }
 
 // GossipReply answers a Gossip.
@@ -188,7 +190,7 @@
 	Sequence uint64 `cbor:"4,keyasint"`
 	// Servers holds the backend servers that the instance has flows on, all of them in
 	// every report.
-	Servers []ServerLoad `cbor:"5,keyasint,omitempty"`
+	Servers ServerLoads `cbor:"5,keyasint"`
 	// Known is the revision of the last reply that the instance has applied.
 	Known ResumePoint `cbor:"6,keyasint,omitempty"`
 	// Wants is the number of flows, by service, that the instance would place on cold
@@ -204,7 +206,7 @@
 	// complete, Flows that of open flows.
 	Pending int `cbor:"3,keyasint,omitempty"`
 	Flows   int `cbor:"4,keyasint,omitempty"`
-	// Latency is the mean time of a request, weighted by the instances' requests; zero if
+	// Latency is the mean time of a request, weighted by the instances' flows; zero if
 	// unknown.
 	Latency time.Duration `cbor:"5,keyasint,omitempty"`
 }
@@ -227,12 +229,43 @@
 	// otherwise it holds those that changed since the receiver's last reply.
 	Whole bool `cbor:"2,keyasint,omitempty"`
 	// Servers holds the sums over all reporting instances, the receiver included.
-	Servers []ServerLoad `cbor:"3,keyasint,omitempty"`
-	// Zones holds the sums of the other zones.
+	Servers ServerLoads `cbor:"3,keyasint"`
+	// Zones holds the sums of the other zones if they changed since the receiver's last
+	// reply.
 	Zones []ZoneLoad `cbor:"4,keyasint,omitempty"`
 	// Instances is the number of entry instances of the receiver's zone that report.
 	Instances int    `cbor:"5,keyasint,omitempty"`
 	Loans     []Loan `cbor:"6,keyasint,omitempty"`
+	// Sequence is that of the receiver's report that the sums include.
+	Sequence uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// LoadShare carries the sums over the entry instances that follow a control instance to
+// another one.
+type LoadShare struct {
+	// From is the sender's address. Process identifies its process; Sequence orders its
+	// messages to one receiver.
+	From     string `cbor:"1,keyasint"`
+	Process  uint64 `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
+	// Servers holds the backend servers of the zones that the receiver wants, Zones the
+	// totals of the other zones.
+	Servers ServerLoads `cbor:"4,keyasint"`
+	Zones   []ZoneLoad  `cbor:"5,keyasint,omitempty"`
+	// Instances is the number of reporting entry instances, by their zone.
+	Instances map[catkinrail.Zone]int `cbor:"6,keyasint,omitempty"`
+	// Wants holds the zones whose backend servers the sender wants to receive.
+	Wants []catkinrail.Zone `cbor:"7,keyasint,omitempty"`
+	// Arrived holds the entry instances that have begun to report to the sender, so that
+	// the receiver drops what they reported to it before.
+	Arrived []ReportMark `cbor:"8,keyasint,omitempty"`
+}
+
+// ReportMark identifies a report of an entry instance.
+type ReportMark struct {
+	Name     string `cbor:"1,keyasint"`
+	Process  uint64 `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
 }
 
 // Loan permits an entry instance to open a number of flows on a cold backend server.
--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -13,6 +13,9 @@
 	Pending int
 	// Flows is the number of open flows on it.
 	Flows int
+	// OthersPending and OthersFlows are the requests and flows that other entry instances
+	// have on it, as far as they are known.
+	OthersPending, OthersFlows int
 	// Latency is the mean time from a request to its answer; zero if unknown.
 	Latency time.Duration
 	// Warmup is the remaining time for which it is slow after its start.
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -164,6 +164,7 @@
 	silentSince int64
 	// evacuated is set while its zone is evacuated.
 	evacuated bool
+	others    othersLoad
 }
 
 // Token returns the token that packets to the backend server carry.
@@ -229,6 +230,7 @@
 	handshakes []handshake
 	// meanHandshake is the moving average of the handshake time, zero if unknown.
 	meanHandshake time.Duration
+	loads         sharedLoads
 }
 
 // handshake is an attempt to open a flow.
@@ -377,12 +379,17 @@
 		return nil
 	}
 	e.candidates = e.candidates[:0]
+	fresh := e.loads.fresh(now)
 	for _, b := range list {
 		e.candidates = append(e.candidates, place.Candidate{
 			Slots: b.Slots, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.latency,
 			Warmup: time.Duration(max(0, b.warmUntil-now)), Misses: b.misses, SinceMiss: time.Duration(now - b.lastMiss),
 			Silent: b.silent, Draining: b.Draining || b == avoid || b.evacuated, Local: b.Zone == e.zone,
 		})
+		if fresh {
+			c := &e.candidates[len(e.candidates)-1]
+			c.OthersPending, c.OthersFlows = b.others.pending, b.others.flows
+		}
 	}
 	i := place.Choose(e.candidates, e.rng.Uint64())
 	if i < 0 {
--- /dev/null
+++ b/coordination/token/load.go
@@ -0,0 +1,82 @@
+package token
+
+import (
+	"time"
+
+	"catkinrail.example/catkinrail/coordination/load"
+	"catkinrail.example/catkinrail/coordination/message"
+)
+
+// othersLoad is the load that other entry instances put on a backend server of this zone.
+type othersLoad struct {
+	pending, flows int
+	// latency is the mean time of a request over all instances; zero if unknown.
+	latency time.Duration
+	// at is the time up to which that is known to hold, zero if it was never known.
+	at int64
+}
+
+// sharedLoads is what the engine shares with other entry instances.
+type sharedLoads struct {
+	// shared is set if the document calls for sharing.
+	shared bool
+	// reported is set while the last report held a load, so that one without follows.
+	reported bool
+	view     load.View
+	// backends holds those that get flows, sorted by token.
+	backends []*Backend
+}
+
+// fresh reports whether the view counts in placement.
+func (l *sharedLoads) fresh(now int64) bool {
+	return l.shared && l.view.Fresh(now)
+}
+
+// LoadReport fills in the report of this instance's load, with the next sequence, and
+// reports whether it is to be sent: loads are shared, and this instance has flows or its
+// last report said so. Only the sender, its name, zone and process, is set by the caller.
+func (e *Engine) LoadReport(r *message.LoadReport, now int64) bool {
+	r.Servers = r.Servers[:0]
+	if !e.loads.shared {
+		e.loads.reported = false
+		return false
+	}
+	for _, b := range e.loads.backends {
+		if b.flows == 0 && b.pending == 0 && b.pendingHandshakes == 0 {
+			continue
+		}
+		r.Servers = append(r.Servers, message.ServerLoad{
+			Token: b.token, StartedAt: b.StartedAt, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.latency,
+		})
+	}
+	if len(r.Servers) == 0 && !e.loads.reported {
+		return false
+	}
+	e.loads.reported = len(r.Servers) > 0
+	r.Sequence++
+	r.Known = e.loads.view.Known()
+	e.loads.view.RecordSent(r, now)
+	return true
+}
+
+// ApplyLoad applies the reply to a report, and reports whether it was newer than those
+// before.
+func (e *Engine) ApplyLoad(r *message.LoadReply, _ int64) bool {
+	v := &e.loads.view
+	if !v.Apply(r) {
+		return false
+	}
+	for _, b := range e.loads.backends {
+		if b.Zone != e.zone {
+			continue
+		}
+		o := v.Others(load.Key{Token: b.token, StartedAt: b.StartedAt})
+		b.others = othersLoad{pending: o.Pending, flows: o.Flows, latency: o.Latency, at: v.At()}
+	}
+	return true
+}
+
+// LoadView returns the view of the load that others put on backend servers.
+func (e *Engine) LoadView() *load.View {
+	return &e.loads.view
+}
--- /dev/null
+++ b/coordination/token/load_test.go
@@ -0,0 +1,103 @@
+package token
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/load"
+	"catkinrail.example/catkinrail/coordination/message"
+)
+
+const ms = int64(time.Millisecond)
+
+func loadDocument(version uint64, target time.Duration) *catkinrail.Document {
+	return &catkinrail.Document{Version: version, Services: []string{"s"}, Routes: []catkinrail.Route{{
+		Name: "r", Listen: netip.MustParseAddrPort("198.18.0.1:443"), Timeout: time.Second,
+		LatencyTarget: target, Targets: []catkinrail.Target{{Service: "s", Weight: 1}},
+	}}}
+}
+
+// newLoadEngine returns an engine in zone "a" with a backend server in each of two zones.
+func newLoadEngine(target time.Duration) *Engine {
+	e := New("a", 1)
+	e.SetDocument(loadDocument(1, target))
+	var list []FollowedBackend
+	for i, zone := range []catkinrail.Zone{"a", "b"} {
+		list = append(list, FollowedBackend{Incarnation: catkinrail.Incarnation{
+			Name: string(zone), Identity: uint64(i + 1), StartedAt: 100, Sequence: 1, Service: "s", Zone: zone, Slots: 2,
+		}})
+	}
+	e.Update(list, 0)
+	e.RecordContact(0)
+	return e
+}
+
+func openFlow(e *Engine, port uint16, now int64) {
+	dst := netip.MustParseAddr("198.18.0.1").As16()
+	e.Decide(&catkinrail.TokenPacket{Flow: catkinrail.FlowKey{SrcPort: port, Dst: dst, DstPort: 443}, Opening: true, Seq: 1}, now)
+}
+
+// TestPlacementSeesOthers guards against an entry instance that places by its own flows
+// only, that counts its own twice, or that trusts old news.
+func TestPlacementSeesOthers(t *testing.T) {
+	table := load.NewTable("c", 1)
+	table.SetServer(load.Server{Key: load.Key{Token: 1, StartedAt: 100}, Zone: "a", Service: "s", Slots: 2})
+	e := newLoadEngine(time.Second)
+	openFlow(e, 1, 0)
+	r := message.LoadReport{Name: "e1", Zone: "a", Process: 1}
+	require.True(t, e.LoadReport(&r, 10*ms))
+	other := message.LoadReport{Name: "e2", Zone: "a", Process: 2, Sequence: 1, Servers: message.ServerLoads{{Token: 1, StartedAt: 100, Pending: 3, Flows: 9}}}
+	table.Report(&other, 10*ms)
+	require.True(t, e.ApplyLoad(table.Report(&r, 12*ms), 14*ms))
+	tests := []struct {
+		name           string
+		at             int64
+		pending, flows int
+	}{
+		{"fresh", 20 * ms, 3, 9},
+		{"just fresh", 10*ms + int64(load.Expiry) - 1, 3, 9},
+		{"old", 10*ms + int64(load.Expiry), 0, 0},
+		{"clock set back", 5 * ms, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e.place("s", nil, tt.at)
+			for _, c := range e.candidates {
+				if !c.Local {
+					require.Zero(t, c.OthersFlows, "another zone's backend server is known by its zone only")
+					continue
+				}
+				require.Equal(t, tt.pending, c.OthersPending)
+				require.Equal(t, tt.flows, c.OthersFlows)
+			}
+		})
+	}
+	require.False(t, e.ApplyLoad(&message.LoadReply{Sequence: 1, Whole: true}, 20*ms), "a repeated reply")
+}
+
+// TestReportsOnlyWhereShared guards against reports of deployments that don't share loads,
+// and of instances without flows.
+func TestReportsOnlyWhereShared(t *testing.T) {
+	r := message.LoadReport{}
+	e := newLoadEngine(0)
+	openFlow(e, 1, 0)
+	require.False(t, e.LoadReport(&r, ms), "no priorities and no latency target")
+	e = newLoadEngine(time.Second)
+	require.False(t, e.LoadReport(&r, ms), "no flows")
+	openFlow(e, 1, 0)
+	require.True(t, e.LoadReport(&r, ms))
+	require.Len(t, r.Servers, 1)
+	require.Equal(t, 1, r.Servers[0].Pending, "the handshake")
+	e.Tick(int64(10 * time.Second))
+	require.True(t, e.LoadReport(&r, ms), "the report that the flows have ended")
+	require.Empty(t, r.Servers)
+	require.False(t, e.LoadReport(&r, ms))
+	require.EqualValues(t, 2, r.Sequence)
+	openFlow(e, 2, int64(10*time.Second))
+	e.SetDocument(loadDocument(2, 0))
+	require.False(t, e.LoadReport(&r, ms), "a document that no longer calls for it")
+}
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -26,6 +26,7 @@
 	for i := range d.Routes {
 		e.routes[d.Routes[i].Listen] = &d.Routes[i]
 	}
+	e.loads.shared = d.SharesLoads()
 	return true
 }
 
@@ -163,6 +164,7 @@
 	})
 	clear(e.tokens)
 	clear(e.services)
+	e.loads.backends = e.loads.backends[:0]
 	for _, b := range list {
 		if e.tokens[b.token] != nil {
 			continue
@@ -170,8 +172,10 @@
 		e.tokens[b.token] = b
 		if !b.Gone {
 			e.services[b.Service] = append(e.services[b.Service], b)
+			e.loads.backends = append(e.loads.backends, b)
 		}
 	}
+	slices.SortFunc(e.loads.backends, func(a, b *Backend) int { return cmp.Compare(a.token, b.token) })
 }
 
 // NumBackends returns the number of known incarnations.
--- a/document.go
+++ b/document.go
@@ -141,6 +141,28 @@
 	return nil
 }
 
+// SharesLoads reports whether entry instances share the load that they observe: whether
+// the routes to one service differ in priority, or a route states a latency target.
+func (d *Document) SharesLoads() bool {
+	priorities := map[string]int{}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if r.LatencyTarget > 0 {
+			return true
+		}
+		for _, t := range r.Targets {
+			if t.Weight <= 0 {
+				continue
+			}
+			if p, ok := priorities[t.Service]; ok && p != r.Priority {
+				return true
+			}
+			priorities[t.Service] = r.Priority
+		}
+	}
+	return false
+}
+
 // Pick returns the service that a new flow with the given hash goes to.
 func (r *Route) Pick(hash uint64) string {
 	sum := 0
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -12,6 +13,7 @@
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/entry/follow"
+	"catkinrail.example/catkinrail/entry/load"
 	"catkinrail.example/catkinrail/entry/packet"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/platform"
@@ -93,6 +95,8 @@
 	d.worker.SetLink(d.node.LinkBits)
 	g.Go(func() error { return d.worker.Run(ctx) })
 	g.Go(func() error { return d.client.Run(ctx) })
+	loads := load.New(d.node.Name, d.node.Zone, rand.Uint64(), creds, d.router, d.client, d.log)
+	g.Go(func() error { return loads.Run(ctx) })
 	g.Go(func() error {
 		return metricspage.ServeHTTP(ctx, d.node.Readiness.String(), platform.ReadinessHandler(d.ready))
 	})
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -69,6 +69,8 @@
 	router *packet.Router
 	log    *logs.Logger
 	synced atomic.Bool
+	// control is the address of the control instance that is followed.
+	control atomic.Pointer[string]
 
 	mu    sync.Mutex
 	seeds []string
@@ -108,6 +110,15 @@
 	return c.synced.Load()
 }
 
+// Control returns the address of the control instance that this instance follows, or an
+// empty string while none has sent an update.
+func (c *Client) Control() string {
+	if addr := c.control.Load(); addr != nil {
+		return *addr
+	}
+	return ""
+}
+
 // Run follows control instances until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	backoff := minBackoff
@@ -117,6 +128,7 @@
 		// ended, the others are tried before it.
 		s := &session{client: c, addrs: c.chooseAddrs(own)}
 		err := s.run(ctx)
+		c.control.Store(nil)
 		c.recordEnd(s)
 		if own = c.inOwnZone(cmp.Or(s.addr, s.addrs[0])); own {
 			c.delayReturn(returnDelay)
@@ -197,6 +209,7 @@
 	}
 	if u.State {
 		c.resume = u.Resume
+		c.control.Store(&addr)
 	}
 }
 
