token, place, work: place flows by expected work where loads are shared

Cause: an entry instance places flows by its own flows only. In a zone of 42 instances it sees a forty-second of each backend server's load, so full servers look idle and other zones' idle servers stay unused.

Change: coordination/work learns what the requests of a route cost and how fast a server is. place.ChooseByWork compares the expected work of a sample of eight backend servers. place.Spill sends flows to other zones within this instance's share of the room there. The engine uses them if a service's routes differ in priority or state a latency target, and while a shared view is fresher than a second. Engine.place moves to placement.go.

Result: without a shared view, 5,000 packets get the same verdicts as before.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -27,6 +27,9 @@
 	Draining bool
 	// Local is set if it is in the entry instance's availability zone.
 	Local bool
+	// OthersPending and OthersFlows are the same as Pending and Flows on behalf of the other
+	// entry instances, as far as they are known; Choose doesn't use them.
+	OthersPending, OthersFlows int
 }
 
 // Weights of the load.
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -11,7 +11,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/egress"
-	"catkinrail.example/catkinrail/coordination/place"
+	"catkinrail.example/catkinrail/coordination/work"
 )
 
 // Action is what to do with a packet.
@@ -164,6 +164,9 @@
 	silentSince int64
 	// evacuated is set while its zone is evacuated.
 	evacuated bool
+	// work is what its requests show, and others the load of the other instances.
+	work   work.Server
+	others othersLoad
 }
 
 // Token returns the token that packets to the backend server carry.
@@ -194,6 +197,7 @@
 	// caller's packets.
 	sent, acked uint32
 	lastSeen    int64
+	flowCost
 }
 
 // Observer receives the times that the engine measures. It must not block.
@@ -223,8 +227,8 @@
 	// overloaded is set while new flows are shed.
 	overloaded bool
 	// linkWait is the time for which a packet of each class waits for the link.
-	linkWait   [egress.NumClasses]time.Duration
-	candidates []place.Candidate
+	linkWait  [egress.NumClasses]time.Duration
+	placement placement
 	// handshakes are the attempts that may be pending, oldest first.
 	handshakes []handshake
 	// meanHandshake is the moving average of the handshake time, zero if unknown.
@@ -244,6 +248,7 @@
 		routes:   map[netip.AddrPort]*catkinrail.Route{},
 		backends: map[string]*Backend{}, tokens: map[catkinrail.Token]*Backend{},
 		services: map[string][]*Backend{}, flows: map[catkinrail.FlowKey]*flow{},
+		placement: newPlacement(),
 	}
 }
 
@@ -282,22 +287,26 @@
 	if e.overloaded {
 		return e.shed(p, ReasonOverload)
 	}
-	listen := netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)
-	r := e.routes[listen]
+	r := e.route(p)
 	if r == nil {
 		return e.refuse(p, ReasonNoRoute, now)
 	}
 	if e.linkFull(r) {
 		return e.shed(p, ReasonLink)
 	}
-	b := e.place(r.Pick(e.rng.Uint64()), nil, now)
+	b := e.place(r, r.Pick(e.rng.Uint64()), nil, now)
 	if b == nil {
 		return e.refuse(p, ReasonNoBackend, now)
 	}
-	e.track(p, b, now)
+	e.track(p, b, e.cost(r, b.Service, now), now)
 	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b, Class: egress.ClassOpening}
 }
 
+// route returns the route of the packet's flow, or nil.
+func (e *Engine) route(p *catkinrail.TokenPacket) *catkinrail.Route {
+	return e.routes[netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)]
+}
+
 // refuse refuses a new flow if that is certainly right: if the document and the list
 // of backend servers are current and no instance can have forwarded the flow. If not,
 // it drops the packet.
@@ -355,7 +364,7 @@
 		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
 	}
 	e.recordMiss(f, now)
-	next := e.place(f.backend.Service, f.backend, now)
+	next := e.place(e.route(p), f.backend.Service, f.backend, now)
 	if next == nil || next == f.previous {
 		f.openedAt = now
 		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
@@ -368,25 +377,3 @@
 	e.handshakes = append(e.handshakes, handshake{p.Flow, now})
 	return Verdict{Action: Forward, Reason: ReasonNext, Backend: next, Class: egress.ClassOpening}
 }
-
-// place returns the backend server for a new flow, other than the one to avoid,
-// or nil if there is none.
-func (e *Engine) place(service string, avoid *Backend, now int64) *Backend {
-	list := e.services[service]
-	if len(list) == 0 {
-		return nil
-	}
-	e.candidates = e.candidates[:0]
-	for _, b := range list {
-		e.candidates = append(e.candidates, place.Candidate{
-			Slots: b.Slots, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.latency,
-			Warmup: time.Duration(max(0, b.warmUntil-now)), Misses: b.misses, SinceMiss: time.Duration(now - b.lastMiss),
-			Silent: b.silent, Draining: b.Draining || b == avoid || b.evacuated, Local: b.Zone == e.zone,
-		})
-	}
-	i := place.Choose(e.candidates, e.rng.Uint64())
-	if i < 0 {
-		return nil
-	}
-	return list[i]
-}
--- a/coordination/token/observe.go
+++ b/coordination/token/observe.go
@@ -5,17 +5,18 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/egress"
+	"catkinrail.example/catkinrail/coordination/work"
 )
 
 // track starts to track a flow that was placed on a backend server.
-func (e *Engine) track(p *catkinrail.TokenPacket, b *Backend, now int64) {
+func (e *Engine) track(p *catkinrail.TokenPacket, b *Backend, r *work.Route, now int64) {
 	if old := e.flows[p.Flow]; old != nil {
 		e.untrack(p.Flow, old)
 	}
 	if len(e.flows) >= maxFlows {
 		return
 	}
-	e.flows[p.Flow] = &flow{backend: b, seq: p.Seq, openedAt: now, sent: p.Seq, lastSeen: now}
+	e.flows[p.Flow] = &flow{backend: b, seq: p.Seq, openedAt: now, sent: p.Seq, lastSeen: now, flowCost: flowCost{route: r}}
 	b.flows++
 	b.pendingHandshakes++
 	e.handshakes = append(e.handshakes, handshake{p.Flow, now})
@@ -72,6 +73,7 @@
 	if f.requestedAt == 0 {
 		f.backend.pending++
 		f.requestBytes = 0
+		f.beginRequest(now)
 	}
 	f.requestBytes += p.Payload
 	f.requestedAt = now
@@ -90,6 +92,7 @@
 	f.backend.pendingHandshakes--
 	f.backend.misses = 0
 	took := time.Duration(now - f.openedAt)
+	e.recordOpen(f, took, now)
 	if e.observer != nil {
 		e.observer.Handshake(took)
 	}
@@ -114,8 +117,10 @@
 		return nil
 	}
 	f := &flow{backend: b, open: true, seq: p.Seq, sent: p.Seq, acked: p.Ack, lastSeen: now}
+	f.route = e.cost(e.route(p), b.Service, now)
 	e.flows[p.Flow] = f
 	b.flows++
+	e.recordOpen(f, 0, now)
 	return f
 }
 
@@ -129,6 +134,7 @@
 	if e.observer != nil {
 		e.observer.Answer(took)
 	}
+	f.endRequest(now)
 	f.requestedAt = 0
 	b.pending--
 	if b.latency == 0 {
@@ -148,6 +154,7 @@
 			continue
 		}
 		if f.requestedAt != 0 && now-f.requestedAt > int64(answerTimeout) {
+			f.dropRequest(now)
 			f.requestedAt = 0
 			f.backend.pending--
 		}
@@ -195,6 +202,7 @@
 func (e *Engine) detach(f *flow) {
 	b := f.backend
 	b.flows--
+	f.close()
 	if !f.open {
 		b.pendingHandshakes--
 	}
--- /dev/null
+++ b/coordination/token/placement.go
@@ -0,0 +1,455 @@
+package token
+
+import (
+	"slices"
+	"time"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
+	"catkinrail.example/catkinrail/coordination/place"
+	"catkinrail.example/catkinrail/coordination/work"
+)
+
+const (
+	// sharedTimeout is the age from which the loads that others reported no longer count.
+	sharedTimeout = time.Second
+	// defaultDistance is assumed for a zone without a measured handshake.
+	defaultDistance = 2 * time.Millisecond
+	// maxCosts limits the routes whose cost is learned, at about 15 KB each.
+	maxCosts = 512
+	// A zone's handshake time follows a lower sample with a quarter and a higher one with
+	// a sixty-fourth: it stays near the fastest ones, which did not wait for a server.
+	fasterShift, slowerShift = 2, 6
+)
+
+// ChoiceKind is how the backend server of a new flow was chosen.
+type ChoiceKind uint8
+
+// Kinds of choices.
+const (
+	// ChoiceOwn is a choice by what this instance observes itself.
+	ChoiceOwn ChoiceKind = iota
+	// ChoiceWork is a choice in the own zone by the expected work.
+	ChoiceWork
+	// ChoiceSpilled is a choice in another zone because the own one is crowded.
+	ChoiceSpilled
+	// ChoiceAway is a choice in another zone because the own one has no backend server.
+	ChoiceAway
+	numChoiceKinds
+)
+
+// String returns the name of the kind.
+func (k ChoiceKind) String() string {
+	return [...]string{"own", "work", "spilled", "away"}[k]
+}
+
+// ChoiceKinds returns all kinds.
+func ChoiceKinds() []ChoiceKind {
+	list := make([]ChoiceKind, numChoiceKinds)
+	for i := range list {
+		list[i] = ChoiceKind(i)
+	}
+	return list
+}
+
+// othersLoad is the load that the other entry instances put on a backend server.
+type othersLoad struct {
+	pending, flows int
+	// latency is the mean time of a request over all instances; zero if unknown.
+	latency time.Duration
+}
+
+// SetOthers sets the load that the other entry instances put on an incarnation. It is
+// ignored if the incarnation isn't known.
+func (e *Engine) SetOthers(l *message.ServerLoad) {
+	if b := e.tokens[l.Token]; b != nil && b.StartedAt == l.StartedAt {
+		b.others = othersLoad{l.Pending, l.Flows, l.Latency}
+	}
+}
+
+// SetZoneLoads sets the loads of the other zones, and the number of entry instances in the
+// own zone. Placement by expected work is used while these are fresh, so they are set after
+// the loads of the backend servers.
+func (e *Engine) SetZoneLoads(list []message.ZoneLoad, instances int, now int64) {
+	pl := &e.placement
+	pl.sharedAt, pl.shared = now, true
+	for _, r := range pl.costs {
+		r.Refresh(now)
+	}
+	for name, s := range pl.services {
+		if s.byWork {
+			e.refreshService(name, s, list, instances, now)
+		}
+	}
+}
+
+// placement is the state of placement by expected work.
+type placement struct {
+	candidates []place.Candidate
+	services   map[string]*serviceIndex
+	costs      map[costKey]*work.Route
+	handshakes map[catkinrail.Zone]time.Duration
+	// shared is set once loads of others were received, last at sharedAt.
+	shared   bool
+	sharedAt int64
+	group    group
+	choices  [numChoiceKinds]uint64
+	spilled  map[catkinrail.Zone]uint64
+}
+
+type costKey struct{ route, service string }
+
+// serviceIndex is the backend servers of a service by zone, without those that take no new
+// flows or are silent.
+type serviceIndex struct {
+	// byWork is set if the document calls for placement by expected work.
+	byWork bool
+	home   []*Backend
+	zones  []zoneIndex
+	states []place.ZoneState
+	spill  place.Spill
+	routes []*work.Route
+	// request holds the means over the service's routes.
+	request place.Request
+}
+
+type zoneIndex struct {
+	zone     catkinrail.Zone
+	backends []*Backend
+	// pending and flows are those that a backend server of the zone has on the mean.
+	pending, flows int
+}
+
+func newPlacement() placement {
+	return placement{
+		services: map[string]*serviceIndex{}, costs: map[costKey]*work.Route{},
+		handshakes: map[catkinrail.Zone]time.Duration{}, spilled: map[catkinrail.Zone]uint64{},
+	}
+}
+
+// callsForWork reports whether a service's routes differ in priority or state a latency
+// target.
+func callsForWork(d *catkinrail.Document, service string) bool {
+	priority, n := 0, 0
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if !slices.ContainsFunc(r.Targets, func(t catkinrail.Target) bool { return t.Service == service && t.Weight > 0 }) {
+			continue
+		}
+		if r.LatencyTarget > 0 || (n > 0 && r.Priority != priority) {
+			return true
+		}
+		priority = r.Priority
+		n++
+	}
+	return false
+}
+
+// indexPlacement rebuilds the index after a change of the document, the evacuations or the
+// backend servers.
+func (e *Engine) indexPlacement() {
+	pl := &e.placement
+	if e.document == nil {
+		return
+	}
+	for name := range pl.services {
+		if e.services[name] == nil {
+			delete(pl.services, name)
+		}
+	}
+	for name, list := range e.services {
+		s := pl.services[name]
+		if s == nil {
+			s = &serviceIndex{}
+			pl.services[name] = s
+		}
+		if s.byWork = callsForWork(e.document, name); s.byWork {
+			s.index(e.zone, list)
+		}
+	}
+	named := map[string]bool{}
+	for i := range e.document.Routes {
+		named[e.document.Routes[i].Name] = true
+	}
+	for key := range pl.costs {
+		if !named[key.route] {
+			delete(pl.costs, key)
+		}
+	}
+}
+
+// index sorts the backend servers into zones. Zones stay in the list, so that the state of
+// the spillover keeps its order.
+func (s *serviceIndex) index(home catkinrail.Zone, list []*Backend) {
+	s.home = s.home[:0]
+	for i := range s.zones {
+		s.zones[i].backends = s.zones[i].backends[:0]
+	}
+	for _, b := range list {
+		i := slices.IndexFunc(s.zones, func(z zoneIndex) bool { return z.zone == b.Zone })
+		if i < 0 && b.Zone != home {
+			i = len(s.zones)
+			s.zones = append(s.zones, zoneIndex{zone: b.Zone})
+		}
+		switch {
+		case b.Draining || b.evacuated || b.silent:
+		case b.Zone == home:
+			s.home = append(s.home, b)
+		default:
+			s.zones[i].backends = append(s.zones[i].backends, b)
+		}
+	}
+}
+
+// cost returns what requests of the route to the service cost, or nil if that isn't learned.
+func (e *Engine) cost(r *catkinrail.Route, service string, now int64) *work.Route {
+	pl := &e.placement
+	s := pl.services[service]
+	if r == nil || s == nil || !s.byWork {
+		return nil
+	}
+	key := costKey{r.Name, service}
+	c := pl.costs[key]
+	if c == nil && len(pl.costs) < maxCosts {
+		c = work.NewRoute(now)
+		pl.costs[key] = c
+	}
+	return c
+}
+
+// refreshService brings the means of a service, the totals of its zones and the spillover up
+// to date.
+func (e *Engine) refreshService(name string, s *serviceIndex, list []message.ZoneLoad, instances int, now int64) {
+	s.routes = s.routes[:0]
+	for key, r := range e.placement.costs {
+		if key.service == name {
+			s.routes = append(s.routes, r)
+		}
+	}
+	s.request.MeanWork, s.request.IdleWork = work.Mix(s.routes, place.WorkHorizon)
+	home := place.ZoneState{}
+	for _, b := range s.home {
+		home.Slots += max(1, b.Slots)
+		home.Pending += b.pending + b.pendingHandshakes + b.others.pending
+	}
+	s.states = s.states[:0]
+	for i := range s.zones {
+		z := &s.zones[i]
+		state := place.ZoneState{Distance: e.distance(z.zone)}
+		for _, b := range z.backends {
+			if b.warmUntil <= now {
+				state.Usable = true
+				state.Slots += max(1, b.Slots)
+			}
+			state.Own += b.pending + b.pendingHandshakes
+		}
+		k := slices.IndexFunc(list, func(l message.ZoneLoad) bool { return l.Zone == z.zone && l.Service == name })
+		if k < 0 {
+			state.Usable = false
+		} else {
+			state.Pending, state.Latency = list[k].Pending, list[k].Latency
+			n := max(1, len(z.backends))
+			z.pending, z.flows = list[k].Pending/n, list[k].Flows/n
+		}
+		s.states = append(s.states, state)
+	}
+	s.spill.Update(home, s.states, instances, now)
+}
+
+// distance returns the time by which a request to the zone takes longer than one at home.
+func (e *Engine) distance(zone catkinrail.Zone) time.Duration {
+	home, away := e.placement.handshakes[e.zone], e.placement.handshakes[zone]
+	if home == 0 || away == 0 {
+		return defaultDistance
+	}
+	return max(0, away-home)
+}
+
+// place returns the backend server for a new flow of the route, other than the one to avoid,
+// or nil if there is none. The route is nil if the document no longer has it.
+func (e *Engine) place(r *catkinrail.Route, service string, avoid *Backend, now int64) *Backend {
+	pl := &e.placement
+	if s := pl.services[service]; s != nil && s.byWork && pl.shared && now-pl.sharedAt < int64(sharedTimeout) {
+		if b := e.placeByWork(r, service, s, avoid, now); b != nil {
+			return b
+		}
+	}
+	list := e.services[service]
+	if len(list) == 0 {
+		return nil
+	}
+	pl.candidates = pl.candidates[:0]
+	for _, b := range list {
+		c := b.candidate(e.zone, now)
+		c.Draining = c.Draining || b == avoid
+		pl.candidates = append(pl.candidates, c)
+	}
+	i := place.Choose(pl.candidates, e.rng.Uint64())
+	if i < 0 {
+		return nil
+	}
+	pl.choices[ChoiceOwn]++
+	return list[i]
+}
+
+// placeByWork returns the backend server for a new flow by the expected work, or nil if it
+// finds none that is neither silent nor suspect.
+func (e *Engine) placeByWork(r *catkinrail.Route, service string, s *serviceIndex, avoid *Backend, now int64) *Backend {
+	pl := &e.placement
+	req := s.request
+	req.Work = req.MeanWork
+	if r != nil {
+		if c := pl.costs[costKey{r.Name, service}]; c != nil && c.Known() {
+			req.Work = c.Mean()
+		}
+	}
+	home := pl.choose(s.home, nil, &req, avoid, e, now)
+	random := e.rng.Uint64()
+	z, kind := s.spill.Choose(&req, home.Wait, random, now), ChoiceSpilled
+	if !home.Reachable {
+		z, kind = s.spill.Anywhere(random), ChoiceAway
+	}
+	if z >= 0 {
+		zone := &s.zones[z]
+		if c := pl.choose(zone.backends, zone, &req, avoid, e, now); c.Reachable {
+			pl.choices[kind]++
+			pl.spilled[zone.zone]++
+			return zone.backends[c.Index]
+		}
+	}
+	if !home.Reachable {
+		return nil
+	}
+	pl.choices[ChoiceWork]++
+	return s.home[home.Index]
+}
+
+// group is the backend servers of a zone as ChooseByWork reads them.
+type group struct {
+	backends []*Backend
+	// zone is that of the backend servers, or nil for the own one.
+	zone  *zoneIndex
+	req   *place.Request
+	avoid *Backend
+	e     *Engine
+	now   int64
+}
+
+func (pl *placement) choose(list []*Backend, zone *zoneIndex, req *place.Request, avoid *Backend, e *Engine, now int64) place.Choice {
+	// The group is kept in the engine, so that passing it as an interface doesn't allocate.
+	pl.group = group{list, zone, req, avoid, e, now}
+	return place.ChooseByWork(&pl.group, req, e.rng.Uint64())
+}
+
+// Len implements place.Group.
+func (g *group) Len() int { return len(g.backends) }
+
+// At implements place.Group.
+func (g *group) At(i int) place.WorkCandidate {
+	b := g.backends[i]
+	c := place.WorkCandidate{Candidate: b.candidate(g.e.zone, g.now)}
+	c.Draining = c.Draining || b == g.avoid
+	mean, others := g.req.MeanWork, b.others
+	if g.zone != nil {
+		// Only the zone's totals are known.
+		others = othersLoad{pending: max(0, g.zone.pending-c.Pending), flows: max(0, g.zone.flows-c.Flows)}
+	}
+	c.OthersPending, c.OthersFlows = others.pending, others.flows
+	c.Remaining = b.work.Remaining(mean, g.now) + time.Duration(b.pendingHandshakes)*mean
+	shared := work.SharedSlowness(others.latency, mean, g.e.placement.handshakes[g.e.zone], float64(others.pending), b.Slots)
+	c.Slowness = b.work.Slowness(shared, g.now)
+	if since, ok := b.work.SinceRejected(g.now); ok {
+		c.Backlog = time.Duration(work.QueueLimit+b.Slots)*mean - since*time.Duration(max(1, b.Slots))
+	}
+	return c
+}
+
+// candidate returns what this instance observes of the backend server.
+func (b *Backend) candidate(home catkinrail.Zone, now int64) place.Candidate {
+	return place.Candidate{
+		Slots: b.Slots, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.latency,
+		Warmup: time.Duration(max(0, b.warmUntil-now)), Misses: b.misses, SinceMiss: time.Duration(now - b.lastMiss),
+		Silent: b.silent, Draining: b.Draining || b.evacuated, Local: b.Zone == home,
+	}
+}
+
+// Choices returns the number of flows placed by kind of choice.
+func (e *Engine) Choices() [numChoiceKinds]uint64 { return e.placement.choices }
+
+// Spilled returns the number of flows placed in other zones by expected work, by zone. The
+// map must not be changed or kept.
+func (e *Engine) Spilled() map[catkinrail.Zone]uint64 { return e.placement.spilled }
+
+// flowCost is what a flow contributes to the cost of its route. Without a route nothing is
+// learned from it.
+type flowCost struct {
+	route *work.Route
+	// roundTrip is the time of the handshake.
+	roundTrip time.Duration
+	// begunAt is the time of the first byte of the pending request, and queue the number of
+	// requests that the backend server had then.
+	begunAt int64
+	queue   int
+}
+
+// recordOpen records that a flow is open. Took is the time of its handshake, or zero if
+// another instance saw it.
+func (e *Engine) recordOpen(f *flow, took time.Duration, now int64) {
+	if f.route == nil {
+		return
+	}
+	times := e.placement.handshakes
+	zone := f.backend.Zone
+	known := times[zone]
+	switch {
+	case took == 0:
+		took = known
+	case known == 0:
+		times[zone] = took
+	case took < known:
+		times[zone] -= (known - took) >> fasterShift
+	default:
+		times[zone] += (took - known) >> slowerShift
+	}
+	f.roundTrip = took
+	f.route.AddIdle(1, now)
+}
+
+func (f *flow) beginRequest(now int64) {
+	if f.route == nil {
+		return
+	}
+	b := f.backend
+	f.begunAt, f.queue = now, b.pending-1+b.others.pending
+	f.route.AddIdle(-1, now)
+	b.work.Begin(f.route, now)
+}
+
+func (f *flow) endRequest(now int64) {
+	if f.route == nil {
+		return
+	}
+	f.route.AddIdle(1, now)
+	f.backend.work.End(f.route, work.Answer{
+		Began: f.begunAt, SentAt: f.requestedAt, RoundTrip: f.roundTrip, Queue: f.queue, Slots: f.backend.Slots,
+	}, now)
+}
+
+func (f *flow) dropRequest(now int64) {
+	if f.route != nil {
+		f.route.AddIdle(1, now)
+		f.backend.work.Drop(f.route, f.begunAt)
+	}
+}
+
+// close removes the flow from what its route counts as open.
+func (f *flow) close() {
+	if f.route == nil || !f.open {
+		return
+	}
+	if f.requestedAt != 0 {
+		f.backend.work.Drop(f.route, f.begunAt)
+		return
+	}
+	f.route.AddIdle(-1, f.lastSeen)
+}
--- /dev/null
+++ b/coordination/token/placement_test.go
@@ -0,0 +1,170 @@
+package token_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
+	"catkinrail.example/catkinrail/coordination/token"
+)
+
+// byWork returns a document that calls for placement by expected work.
+func byWork() *catkinrail.Document {
+	d := document(2)
+	d.Routes[0].LatencyTarget = 400 * time.Millisecond
+	return d
+}
+
+// inZones returns n backend servers in each zone.
+func inZones(n int, zones ...catkinrail.Zone) []token.FollowedBackend {
+	var list []token.FollowedBackend
+	for _, z := range zones {
+		for range n {
+			b := backend(fmt.Sprintf("%s-%d", z, len(list)), uint64(len(list)+1))
+			b.Zone = z
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+// TestWithoutSharedView guards against decisions that change although placement by work is
+// off: without a fresh shared view, a document that calls for it must change no verdict.
+func TestWithoutSharedView(t *testing.T) {
+	list := inZones(4, "a", "b")
+	list[2].Warmup = time.Second
+	off, on, stale := newEngine(list...), newEngine(list...), newEngine(list...)
+	off.SetDocument(document(2))
+	on.SetDocument(byWork())
+	stale.SetDocument(byWork())
+	stale.SetZoneLoads(nil, 3, 0)
+	rng := rand.New(rand.NewPCG(5, 5))
+	now := 1000 * ms
+	tokens := map[uint16]catkinrail.Token{}
+	decide := func(p *catkinrail.TokenPacket) token.Verdict {
+		want := off.Decide(p, now)
+		for _, e := range []*token.Engine{on, stale} {
+			got := e.Decide(p, now)
+			require.Equal(t, want.Action, got.Action)
+			require.Equal(t, want.Reason, got.Reason)
+			require.Equal(t, want.Class, got.Class)
+			if want.Backend != nil {
+				require.Equal(t, want.Backend.Name, got.Backend.Name)
+			}
+		}
+		return want
+	}
+	for i := range 5000 {
+		now += rng.Int64N(5 * ms)
+		port := uint16(rng.IntN(200))
+		switch n := rng.IntN(6); {
+		case n == 0 || tokens[port] == 0:
+			if v := decide(opening(port, uint32(rng.IntN(3)))); v.Backend != nil {
+				tokens[port] = v.Backend.Token()
+			}
+		case n == 1:
+			p := data(port, tokens[port], uint32(i), uint32(i), 0)
+			p.Closing = true
+			decide(p)
+			delete(tokens, port)
+		default:
+			decide(data(port, tokens[port], uint32(100*i), uint32(100*i), rng.IntN(2)*90))
+		}
+		if i%200 == 0 {
+			off.Tick(now)
+			on.Tick(now)
+			stale.Tick(now)
+			// Everyone keeps in contact, so that nothing is refused as stale.
+			off.RecordContact(now)
+			on.RecordContact(now)
+			stale.RecordContact(now)
+		}
+	}
+}
+
+// TestPlacementByWork guards against flows to backend servers that only other instances
+// know to be busy, and against spillover to zones that must not get any.
+func TestPlacementByWork(t *testing.T) {
+	load := func(id catkinrail.Token, pending int) *message.ServerLoad {
+		return &message.ServerLoad{Token: id, StartedAt: 100, Pending: pending, Flows: pending}
+	}
+	room := []message.ZoneLoad{{Zone: "b", Service: "logbook", Slots: 8}}
+	full := []message.ZoneLoad{{Zone: "b", Service: "logbook", Slots: 8, Pending: 80, Latency: time.Second}}
+	tests := []struct {
+		name string
+		// busy are the backend servers of zone a that others load.
+		busy   int
+		zones  []message.ZoneLoad
+		change func(e *token.Engine)
+		age    int64
+		// onlyIdle requires that all flows go to the idle servers of the own zone.
+		onlyIdle bool
+		// away is whether flows go to the other zone.
+		away bool
+	}{
+		{name: "servers that others load get none", busy: 2, zones: room, onlyIdle: true},
+		{name: "a crowded zone sends flows away", busy: 4, zones: room, away: true},
+		{name: "not if all are full", busy: 4, zones: full},
+		{name: "not without news of the other", busy: 4},
+		{name: "not to an evacuated zone", busy: 4, zones: room, change: func(e *token.Engine) {
+			e.SetEvacuations(&catkinrail.Evacuations{Revision: 1, Zones: []catkinrail.Zone{"b"}})
+		}},
+		{name: "an evacuated zone sends all away", zones: room, away: true, change: func(e *token.Engine) {
+			e.SetEvacuations(&catkinrail.Evacuations{Revision: 1, Zones: []catkinrail.Zone{"a"}})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEngine(inZones(4, "a", "b")...)
+			e.SetDocument(byWork())
+			if tt.change != nil {
+				tt.change(e)
+			}
+			zones := map[catkinrail.Zone]int{}
+			port := uint16(0)
+			for now := int64(0); now < 3000*ms; now += 250 * ms {
+				e.RecordContact(now)
+				for i := range tt.busy {
+					e.SetOthers(load(catkinrail.Token(i+1), 12))
+				}
+				e.SetZoneLoads(tt.zones, 3, now)
+				for range 2 {
+					port++
+					b := e.Decide(opening(port, 0), now+10*ms).Backend
+					require.NotNil(t, b)
+					zones[b.Zone]++
+					if tt.onlyIdle {
+						require.Greater(t, b.Identity, uint64(tt.busy))
+						require.Equal(t, catkinrail.Zone("a"), b.Zone)
+					}
+					e.Decide(data(port, b.Token(), uint32(port)+1, 100, 0), now+12*ms)
+					e.Decide(data(port, b.Token(), uint32(port)+1, 100, 90), now+12*ms)
+					e.Decide(data(port, b.Token(), uint32(port)+91, 1100, 0), now+42*ms)
+				}
+			}
+			require.Equal(t, tt.away, zones["b"] > 0, "%v", zones)
+		})
+	}
+}
+
+// BenchmarkPlacement measures the placement of a flow by expected work.
+func BenchmarkPlacement(b *testing.B) {
+	for _, n := range []int{40, 400, 4800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e := newEngine(inZones(n, "a")...)
+			e.SetDocument(byWork())
+			e.SetZoneLoads(nil, 3, 0)
+			p := opening(1, 0)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				p.Seq = uint32(i)
+				e.Decide(p, ms)
+			}
+		})
+	}
+}
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -26,6 +26,7 @@
 	for i := range d.Routes {
 		e.routes[d.Routes[i].Listen] = &d.Routes[i]
 	}
+	e.indexPlacement()
 	return true
 }
 
@@ -39,6 +40,7 @@
 	for _, b := range e.backends {
 		b.evacuated = e.isEvacuated(b.Zone)
 	}
+	e.indexPlacement()
 	return true
 }
 
@@ -172,6 +174,7 @@
 			e.services[b.Service] = append(e.services[b.Service], b)
 		}
 	}
+	e.indexPlacement()
 }
 
 // NumBackends returns the number of known incarnations.
