Merge the shared view of load and placement by expected work

Cause: both parts kept the load of others with the backend server.

Result: tests of coordination, entry and control/gossip pass.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -13,9 +13,6 @@
 	Pending int
 	// Flows is the number of open flows on it.
 	Flows int
-	// OthersPending and OthersFlows are the requests and flows that other entry instances
-	// have on it, as far as they are known.
-	OthersPending, OthersFlows int
 	// Latency is the mean time from a request to its answer; zero if unknown.
 	Latency time.Duration
 	// Warmup is the remaining time for which it is slow after its start.
@@ -30,6 +27,9 @@
 	Draining bool
 	// Local is set if it is in the entry instance's availability zone.
 	Local bool
+	// OthersPending and OthersFlows are the same as Pending and Flows on behalf of the other
+	// entry instances, as far as they are known; Choose doesn't use them.
+	OthersPending, OthersFlows int
 }
 
 // Weights of the load.
--- a/coordination/token/load.go
+++ b/coordination/token/load.go
@@ -61,7 +61,7 @@
 
 // ApplyLoad applies the reply to a report, and reports whether it was newer than those
 // before.
-func (e *Engine) ApplyLoad(r *message.LoadReply, _ int64) bool {
+func (e *Engine) ApplyLoad(r *message.LoadReply, now int64) bool {
 	v := &e.loads.view
 	if !v.Apply(r) {
 		return false
@@ -73,6 +73,7 @@
 		o := v.Others(load.Key{Token: b.token, StartedAt: b.StartedAt})
 		b.others = othersLoad{pending: o.Pending, flows: o.Flows, latency: o.Latency, at: v.At()}
 	}
+	e.refreshPlacement(now)
 	return true
 }
 
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -27,6 +27,7 @@
 		e.routes[d.Routes[i].Listen] = &d.Routes[i]
 	}
 	e.loads.shared = d.SharesLoads()
+	e.indexPlacement()
 	return true
 }
 
@@ -40,6 +41,7 @@
 	for _, b := range e.backends {
 		b.evacuated = e.isEvacuated(b.Zone)
 	}
+	e.indexPlacement()
 	return true
 }
 
@@ -176,6 +178,7 @@
 		}
 	}
 	slices.SortFunc(e.loads.backends, func(a, b *Backend) int { return cmp.Compare(a.token, b.token) })
+	e.indexPlacement()
 }
 
 // NumBackends returns the number of known incarnations.
