core: apply committed entries before a new leader proposes

Cause: a leader that was restarted with a log learns in one message that the log is committed. Puts that were queued behind that message were evaluated before the entries were applied, against an empty state. Their change didn't follow the state, no instance could apply it, and all control instances reopened their journals for ever: the system took no more documents. Ruled out: a damaged log, a lost disk (the entry is in all three logs).

Change: the leader's work waits until what is committed is applied.

Result: TestPutsDuringElection fails before ('change to version 1 does not follow version 5') and passes after; tests of control/core and control/document pass.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -421,6 +421,12 @@
 // proposes the next pending change. On other instances it rejects the pending
 // proposals.
 func (c *Core) runLeader() {
+	if c.node.Role() == quorum.Leader && c.node.AppliedIndex() < c.node.CommitIndex() {
+		// A message has just committed entries, perhaps the whole log of an earlier process.
+		// A term begins with the state after them, and proposals are evaluated against it:
+		// handleReady applies them and calls this again.
+		return
+	}
 	now := c.now()
 	c.leader.update(c, now)
 	if !c.leader.active {
--- a/control/core/document_test.go
+++ b/control/core/document_test.go
@@ -352,3 +352,40 @@
 		require.Equal(t, "v21", string(c.Published().Document.Source))
 	}
 }
+
+// TestPutsDuringElection guards against changes that a new leader evaluates against the state
+// before its log: committed entries that it has not applied yet must be applied first.
+// Otherwise the change doesn't follow the state, and no instance can apply it.
+func TestPutsDuringElection(t *testing.T) {
+	tc := newTestClusterWith(t, 3, noLease, 0)
+	for v := range uint64(5) {
+		done := tc.beginPut(tc.leader(), doc(v+1, fmt.Sprint(v+1)))
+		tc.run(100 * time.Millisecond)
+		require.NoError(t, (<-done).Err)
+	}
+	for id := range tc.cores {
+		tc.crash(id)
+	}
+	for id := range tc.cores {
+		tc.start(id)
+	}
+	version := uint64(100)
+	for range 100 {
+		for id, c := range tc.cores {
+			c.node.Tick(c.now())
+			tc.process(id)
+		}
+		list := tc.messages
+		tc.messages = nil
+		for _, m := range list {
+			// The put is handled together with the message, as a queued call is.
+			c := tc.cores[m.To]
+			c.node.Step(m, c.now())
+			version++
+			tc.beginPut(c, doc(version, "after"))
+			tc.process(m.To)
+		}
+		tc.clock.now = tc.clock.now.Add(10 * time.Millisecond)
+	}
+	require.Equal(t, "after", string(tc.leader().Published().Document.Source))
+}
