--- a/emulator/cmd/catkinrail-emulator/platform_run.go
+++ b/emulator/cmd/catkinrail-emulator/platform_run.go
@@ -190,7 +190,7 @@
 func (p *platformRun) changeOnce(ctx context.Context, routes []standin.Route, op *standin.Operator) error {
 	time.Sleep(p.duration / 3)
 	fmt.Println("change: a route is added")
-	if err := op.Put(ctx, 2, append(routes, extraRoute(1))); err != nil {
+	if err := putInTime(ctx, op, 2, append(routes, extraRoute(1))); err != nil {
 		return err
 	}
 	fmt.Println("change: a backend server drains")
@@ -217,7 +217,7 @@
 		for n := range rng.IntN(5) {
 			list = append(list, extraRoute(n))
 		}
-		if err := op.Put(ctx, version, list); err != nil {
+		if err := putInTime(ctx, op, version, list); err != nil {
 			return err
 		}
 		if err := p.checkRead(ctx, op, version); err != nil {
@@ -241,9 +241,22 @@
 	}
 }
 
+// operatorTimeout limits the time for which an operator sends an order or a read again. All
+// control instances are back within a few seconds of each fault.
+const operatorTimeout = 30 * time.Second
+
+// putInTime puts a document. It fails if that isn't acknowledged within operatorTimeout.
+func putInTime(ctx context.Context, op *standin.Operator, version uint64, list []standin.Route) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	return op.Put(ctx, version, list)
+}
+
 // checkRead reads the document and counts it as stale if it is older than the
 // acknowledged version.
 func (p *platformRun) checkRead(ctx context.Context, op *standin.Operator, acknowledged uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	version, err := op.Get(ctx)
 	if err == nil && version < acknowledged {
 		fmt.Printf("read version %d after version %d was acknowledged\n", version, acknowledged)
