load: show the exchange in metrics, log lines and catkinctl directory

Entry instances count reports, failures and bytes, and show the age and the size of their view; control instances count reports, late ones, rows and bytes. A lost exchange is logged once, at most one line a second. catkinctl directory shows the load by zone and service with the age of its oldest part.

Large exchanges are sent less often, so that they stay under 24 KB/s and 4 % of the instance's link, but at least every 600 ms.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -204,12 +204,13 @@
 		SilentAfter: d.cfg.SilentAfter, Members: func() *quorum.Members { return c.Published().Members }, Dir: d.dir,
 	})
 	streams := follow.New(c, dir, clk, d.log)
-	loads := load.New(d.cfg.Address, rand.Uint64(), dir, clk)
+	reg := metrics.NewRegistry()
+	loads := load.New(d.cfg.Address, rand.Uint64(), dir, clk, reg)
 	dir.ExchangeLoads(loads)
 	mux := drpcmux.New()
 	err = errors.Join(
 		control.DRPCRegisterControl(mux, entry.New(c, dir, streams, loads)),
-		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, clk)),
+		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, loads, clk)),
 	)
 	if err != nil {
 		return err
@@ -218,9 +219,8 @@
 	g.Go(func() error { return rpc.Serve(ctx, l, mux) })
 	g.Go(func() error { return d.keepJoined(ctx, c, voters) })
 	g.Go(func() error { return d.awaitContact(ctx, streams) })
-	reg := metrics.NewRegistry()
 	if d.cfg.Metrics != "" {
-		g.Go(func() error { return d.serveMetrics(ctx, c, reg) })
+		g.Go(func() error { return d.serveMetrics(ctx, c, loads, reg) })
 	}
 	if d.cfg.Public != "" {
 		dir.Start(ctx)
@@ -300,7 +300,7 @@
 
 // serveMetrics serves the metrics and health pages until ctx ends. The instance is
 // ready while it knows a leader.
-func (d *daemon) serveMetrics(ctx context.Context, c *core.Core, reg metrics.Registry) error {
+func (d *daemon) serveMetrics(ctx context.Context, c *core.Core, loads *load.Server, reg metrics.Registry) error {
 	version := metrics.GetOrRegisterGauge("version", reg)
 	commit := metrics.GetOrRegisterGauge("commit-index", reg)
 	term := metrics.GetOrRegisterGauge("term", reg)
@@ -308,6 +308,7 @@
 	moves := metrics.GetOrRegisterGauge("moves", reg)
 	instances := metrics.GetOrRegisterGauge("instances", reg)
 	ready := func() error {
+		loads.UpdateMetrics()
 		err := errors.New("no leader is known")
 		localErr := c.Local(ctx, func(s *cluster.State, status *core.Status) {
 			version.Update(int64(s.Version))
--- a/control/document/store_test.go
+++ b/control/document/store_test.go
@@ -71,7 +71,7 @@
 		require.NoError(t, err)
 		dir := gossip.New(gossip.Config{Clock: clk, Log: logs.Discard(), SilentAfter: time.Minute})
 		mux := drpcmux.New()
-		require.NoError(t, control.DRPCRegisterControl(mux, entry.New(c, dir, follow.New(c, dir, clk, logs.Discard()), load.New("", 1, dir, clk))))
+		require.NoError(t, control.DRPCRegisterControl(mux, entry.New(c, dir, follow.New(c, dir, clk, logs.Discard()), load.New("", 1, dir, clk, metrics.NewRegistry()))))
 		in.group.Go(func() error { return rpc.Serve(ctx, l, mux) })
 		c.Start(ctx, &in.group)
 		in.store = document.New(c, rpc.NewPool(nil), clk, metrics.NewRegistry())
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -40,6 +40,8 @@
 	// Leave removes the load of an entry instance that no longer follows this control
 	// instance.
 	Leave(name string)
+	// RecordBytes counts the bytes of a report and of its reply.
+	RecordBytes(in, out int)
 }
 
 // New returns a server on top of the core, the directory, the streams to entry instances
@@ -161,7 +163,11 @@
 	if err := decodeRequest(ctx, f, &r, rpc.RoleEntry); err != nil {
 		return nil, err
 	}
-	return encodeReply(s.loads.Report(&r), nil)
+	reply, err := encodeReply(s.loads.Report(&r), nil)
+	if err == nil {
+		s.loads.RecordBytes(len(f.GetBody()), len(reply.GetBody()))
+	}
+	return reply, err
 }
 
 // Gossip implements control.DRPCControlServer.
--- a/control/load/server.go
+++ b/control/load/server.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/load"
 	"catkinrail.example/catkinrail/coordination/message"
@@ -36,19 +38,68 @@
 	revision uint64
 	keys     map[string]load.Key
 	rebuilt  time.Time
+	stats    stats
+}
+
+// stats are the metrics of the exchange. Late reports are those that a newer one had
+// replaced.
+type stats struct {
+	reports, late, sentRows, bytesIn, bytesOut metrics.Counter
+	// rows is the number of rows in the table, instances that of reporting entry instances
+	// and peers that of control instances whose sums count.
+	rows, instances, peers metrics.Gauge
 }
 
 // New returns a server without reports. Self is the control instance's address, process a
-// random number that identifies its process.
-func New(self string, process uint64, dir Directory, clock catkinrail.Clock) *Server {
-	return &Server{dir: dir, clock: clock, table: load.NewTable(self, process), keys: map[string]load.Key{}, rebuilt: clock.Now()}
+// random number that identifies its process. It registers its metrics with reg.
+func New(self string, process uint64, dir Directory, clock catkinrail.Clock, reg metrics.Registry) *Server {
+	return &Server{
+		dir: dir, clock: clock, table: load.NewTable(self, process), keys: map[string]load.Key{}, rebuilt: clock.Now(),
+		stats: stats{
+			reports: metrics.GetOrRegisterCounter("load-reports", reg), late: metrics.GetOrRegisterCounter("load-reports-late", reg),
+			sentRows: metrics.GetOrRegisterCounter("load-rows-sent", reg),
+			bytesIn:  metrics.GetOrRegisterCounter("load-bytes-in", reg), bytesOut: metrics.GetOrRegisterCounter("load-bytes-out", reg),
+			rows: metrics.GetOrRegisterGauge("load-rows", reg), instances: metrics.GetOrRegisterGauge("load-instances", reg),
+			peers: metrics.GetOrRegisterGauge("load-peers", reg),
+		},
+	}
 }
 
 // Report records an entry instance's report and returns the sums of all reports.
 func (s *Server) Report(r *message.LoadReport) *message.LoadReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Report(r, s.prepare())
+	reply := s.table.Report(r, s.prepare())
+	s.stats.reports.Inc(1)
+	if reply.Sequence != r.Sequence {
+		s.stats.late.Inc(1)
+	}
+	s.stats.sentRows.Inc(int64(len(reply.Servers)))
+	return reply
+}
+
+// RecordBytes counts the bytes of a report and of its reply.
+func (s *Server) RecordBytes(in, out int) {
+	s.stats.bytesIn.Inc(int64(in))
+	s.stats.bytesOut.Inc(int64(out))
+}
+
+// UpdateMetrics brings the gauges up to date.
+func (s *Server) UpdateMetrics() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Expire(s.prepare())
+	n := s.table.Counts()
+	s.stats.rows.Update(int64(n.Rows))
+	s.stats.instances.Update(int64(n.Instances))
+	s.stats.peers.Update(int64(n.Peers))
+}
+
+// Zones returns the load by zone and service, with the age of its oldest part.
+func (s *Server) Zones() []load.ZoneStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Zones(s.prepare())
 }
 
 // Leave removes the part of an entry instance that no longer follows this control instance.
--- a/control/operator/directory.go
+++ b/control/operator/directory.go
@@ -34,6 +34,12 @@
 			Name: f.Name, Zone: string(f.Zone), DocumentVersion: f.Document, AgeMs: now.Sub(f.StartedAt).Milliseconds(),
 		})
 	}
+	for _, z := range s.loads.Zones() {
+		reply.Loads = append(reply.Loads, &api.ZoneLoad{
+			Zone: string(z.Zone), Service: z.Service, Slots: uint32(z.Slots), Pending: uint32(z.Pending), Flows: uint32(z.Flows),
+			LatencyMs: z.Latency.Milliseconds(), AgeMs: z.Age.Milliseconds(), Instances: uint32(z.Instances),
+		})
+	}
 	return reply, nil
 }
 
--- a/control/operator/server.go
+++ b/control/operator/server.go
@@ -14,6 +14,7 @@
 	"catkinrail.example/catkinrail/control/core"
 	"catkinrail.example/catkinrail/control/follow"
 	"catkinrail.example/catkinrail/control/gossip"
+	"catkinrail.example/catkinrail/control/load"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/protocol/api"
 	"catkinrail.example/catkinrail/state/cluster"
@@ -26,13 +27,14 @@
 	core   *core.Core
 	dir    *gossip.Directory
 	follow *follow.Server
+	loads  *load.Server
 	clock  catkinrail.Clock
 }
 
-// New returns a server on top of the core, the directory and the streams to entry
-// instances of the control instance with the given name.
-func New(name string, c *core.Core, dir *gossip.Directory, f *follow.Server, clock catkinrail.Clock) *Server {
-	return &Server{name: name, core: c, dir: dir, follow: f, clock: clock}
+// New returns a server on top of the core, the directory, the streams to entry instances
+// and the shared loads of the control instance with the given name.
+func New(name string, c *core.Core, dir *gossip.Directory, f *follow.Server, loads *load.Server, clock catkinrail.Clock) *Server {
+	return &Server{name: name, core: c, dir: dir, follow: f, loads: loads, clock: clock}
 }
 
 var _ api.DRPCOperatorServer = (*Server)(nil)
--- a/coordination/load/property_test.go
+++ b/coordination/load/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -50,10 +51,12 @@
 	table *load.Table
 	parts map[string]*part
 	peers map[string]*part
+	// ended holds the servers that have ended, as this control instance knows.
+	ended map[load.Key]bool
 }
 
 func newNode(name string) *node {
-	n := &node{name: name, table: load.NewTable(name, uint64(len(name))+1000), parts: map[string]*part{}, peers: map[string]*part{}}
+	n := &node{name: name, table: load.NewTable(name, uint64(len(name))+1000), parts: map[string]*part{}, peers: map[string]*part{}, ended: map[load.Key]bool{}}
 	for _, s := range servers {
 		n.table.SetServer(s)
 	}
@@ -167,7 +170,7 @@
 		if p.live && p.process == sent.Process {
 			require.Equal(t, p.sequence, reply.Sequence, "a late report must not replace a newer one")
 		}
-		others := n.sums(sent.Name)
+		others, ended := n.sums(sent.Name), maps.Clone(n.ended)
 		w.transit = append(w.transit, delivery{now, func(t require.TestingT, _ int64) {
 			if i.view != view {
 				return
@@ -178,14 +181,19 @@
 				return
 			}
 			i.applied = reply.Sequence
+			rows := 0
 			for _, s := range servers {
-				if s.Zone != "a" {
+				if s.Zone != "a" || ended[s.Key] {
 					continue
 				}
+				if others[s.Key].Flows > 0 {
+					rows++
+				}
 				got := view.Others(s.Key)
 				require.Equal(t, others[s.Key].Pending, got.Pending, "others on %v", s.Key)
 				require.Equal(t, others[s.Key].Flows, got.Flows, "others on %v", s.Key)
 			}
+			require.Equal(t, rows, view.Rows(), "rows of servers that have ended must not stay")
 		}})
 	}})
 }
@@ -229,7 +237,7 @@
 		flows := map[catkinrail.Zone]int{}
 		for k, l := range all {
 			for _, s := range servers {
-				if s.Key == k {
+				if s.Key == k && !n.ended[k] {
 					flows[s.Zone] += l.Flows
 				}
 			}
@@ -260,6 +268,25 @@
 			"report": func(t *rapid.T) {
 				w.send(t, pickInstance(t), pickNode(t))
 			},
+			"exchange at once": func(t *rapid.T) {
+				late := w.transit
+				w.transit = nil
+				w.send(t, pickInstance(t), pickNode(t))
+				for range 2 {
+					d := w.transit[0]
+					w.transit = w.transit[1:]
+					d.run(t, w.now)
+				}
+				w.transit = late
+			},
+			"end or start a server": func(t *rapid.T) {
+				n, s := pickNode(t), servers[rapid.IntRange(0, len(servers)-1).Draw(t, "server")]
+				if n.ended[s.Key] = !n.ended[s.Key]; n.ended[s.Key] {
+					n.table.RemoveServer(s.Key)
+				} else {
+					n.table.SetServer(s)
+				}
+			},
 			"share": func(t *rapid.T) {
 				n := pickNode(t)
 				for _, o := range w.nodes {
--- a/coordination/load/table.go
+++ b/coordination/load/table.go
@@ -468,13 +468,58 @@
 	return all.list()
 }
 
-// Instances returns the number of entry instances that report here.
-func (t *Table) Instances() int {
-	n := 0
+// Counts are the sizes of a table.
+type Counts struct {
+	// Rows counts the incarnations, Instances the entry instances that report here, and
+	// Peers the control instances whose sums count.
+	Rows, Instances, Peers int
+}
+
+// Counts returns the sizes of the table.
+func (t *Table) Counts() Counts {
+	n := Counts{Rows: len(t.rows)}
 	for _, s := range t.instances {
 		if s.live {
-			n++
+			n.Instances++
+		}
+	}
+	for _, s := range t.peers {
+		if s.live {
+			n.Peers++
 		}
 	}
 	return n
 }
+
+// ZoneStatus is the load of a service's backend servers in a zone.
+type ZoneStatus struct {
+	message.ZoneLoad
+	// Age is the time since the oldest report in the sum arrived; zero if there is none.
+	Age time.Duration
+	// Instances is the number of entry instances of the zone that report.
+	Instances int
+}
+
+// Zones returns the load by zone and service.
+func (t *Table) Zones(now int64) []ZoneStatus {
+	t.expire(now)
+	ages := map[zoneService]time.Duration{}
+	note := func(k zoneService, at int64) { ages[k] = max(ages[k], time.Duration(now-at)) }
+	for _, sources := range []map[string]*source{t.instances, t.peers} {
+		for _, s := range sources {
+			for i := range s.rows {
+				if r := s.rows[i].row; r.known {
+					note(zoneService{r.Zone, r.Service}, s.at)
+				}
+			}
+			for i := range s.zones {
+				note(zoneService{s.zones[i].Zone, s.zones[i].Service}, s.at)
+			}
+		}
+	}
+	var list []ZoneStatus
+	for _, z := range t.Totals() {
+		list = append(list, ZoneStatus{ZoneLoad: z, Age: ages[zoneService{z.Zone, z.Service}], Instances: t.instancesIn(z.Zone)})
+	}
+	return list
+}
--- a/coordination/load/view.go
+++ b/coordination/load/view.go
@@ -63,7 +63,7 @@
 	if i < 0 {
 		return false
 	}
-	if !r.Whole && (r.Revision.Process != v.point.Process || r.Revision.Revision < v.point.Revision) {
+	if !r.Whole && r.Revision.Process != v.point.Process {
 		return false
 	}
 	own := &v.sent[i]
--- a/ctl/commands/directory.go
+++ b/ctl/commands/directory.go
@@ -10,7 +10,7 @@
 )
 
 func directory(a *App) {
-	c := a.kingpin.Command("directory", "Show the backend servers that report to control, and which documents are in force.")
+	c := a.kingpin.Command("directory", "Show the backend servers that report to control, their load by zone, and which documents are in force.")
 	a.handle(c, func(ctx context.Context) error {
 		replies := &api.DirectoryList{}
 		failures, err := a.client.Each(ctx, "directory", func(ctx context.Context, c api.DRPCOperatorClient) error {
@@ -32,7 +32,7 @@
 }
 
 // writeDirectory writes the document in force at each control instance, the entry
-// instances that follow it, and the directory of the first one in the list.
+// instances that follow it, and the loads and the directory of the first one in the list.
 func writeDirectory(w io.Writer, list []*api.DirectoryReply) {
 	fmt.Fprintln(w, "CONTROL\tIN TOUCH\tDOCUMENT\tBACKEND SERVERS")
 	for _, r := range list {
@@ -44,6 +44,13 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", f.GetName(), f.GetZone(), r.GetControl(), f.GetDocumentVersion(), milliseconds(f.GetAgeMs()))
 		}
 	}
+	if loads := list[0].GetLoads(); len(loads) > 0 {
+		fmt.Fprintln(w, "\nSERVICE\tZONE\tSLOTS\tPENDING\tFLOWS\tLATENCY\tREPORTED BY\tAGE")
+		for _, z := range loads {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%s\t%d\t%s\n", z.GetService(), z.GetZone(), z.GetSlots(), z.GetPending(),
+				z.GetFlows(), milliseconds(z.GetLatencyMs()), z.GetInstances(), milliseconds(z.GetAgeMs()))
+		}
+	}
 	fmt.Fprintln(w, "\nSERVICE\tBACKEND SERVER\tZONE\tADDRESS\tSLOTS\tSTATE\tREPORT\tAGE")
 	for _, b := range list[0].GetBackendServers() {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%s\n", b.GetService(), b.GetName(), b.GetZone(), b.GetAddress(),
--- a/ctl/commands/directory_test.go
+++ b/ctl/commands/directory_test.go
@@ -18,6 +18,7 @@
 			BackendServers: []*api.ReportingServer{{
 				Name: "i-9", Service: "logbook", Zone: "a", Address: "10.0.0.9:80", Slots: 2, State: "draining", Sequence: 4, AgeMs: 340,
 			}},
+			Loads: []*api.ZoneLoad{{Service: "logbook", Zone: "a", Slots: 80, Pending: 31, Flows: 960, LatencyMs: 35, AgeMs: 240, Instances: 43}},
 		},
 		{Control: "core-b-1", DocumentVersion: 5, Followers: []*api.Follower{{Name: "front-b-1", Zone: "b", DocumentVersion: 5}}},
 	}
@@ -33,6 +34,9 @@
 front-a-1  a     core-a-1  7         1m1.5s
 front-b-1  b     core-b-1  5         0s
 
+SERVICE  ZONE  SLOTS  PENDING  FLOWS  LATENCY  REPORTED BY  AGE
+logbook  a     80     31       960    35ms     43           240ms
+
 SERVICE  BACKEND SERVER  ZONE  ADDRESS      SLOTS  STATE     REPORT  AGE
 logbook  i-9             a     10.0.0.9:80  2      draining  4       340ms
 `, out.String())
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -46,6 +46,7 @@
 	clock   *clock.System
 	router  *packet.Router
 	client  *follow.Client
+	loads   *load.Client
 	worker  *packet.Worker
 	leaving chan struct{}
 	// reloadSignals receives SIGHUP, at which the settings are read again.
@@ -86,6 +87,10 @@
 	reg := metrics.NewRegistry()
 	d.router = packet.NewRouter(token.New(d.node.Zone, uint64(d.clock.Nanos())), d.clock)
 	d.client = follow.New(d.node.Name, d.node.Zone, seedAddrs(d.node), creds, d.clock, d.router, d.log)
+	d.loads = load.New(load.Config{
+		Name: d.node.Name, Zone: d.node.Zone, Process: rand.Uint64(), Creds: creds, Router: d.router, Follow: d.client,
+		Clock: d.clock, Log: d.log, Metrics: reg,
+	})
 	conn, err := udp.Listen(ctx, d.node.Packets)
 	if err != nil {
 		return err
@@ -93,10 +98,10 @@
 	codec := platform.PacketCodec{CallerPort: d.node.Packets.Port()}
 	d.worker = packet.New(d.router, conn, codec, d.clock, d.log, reg)
 	d.worker.SetLink(d.node.LinkBits)
+	d.loads.SetLink(d.node.LinkBits)
 	g.Go(func() error { return d.worker.Run(ctx) })
 	g.Go(func() error { return d.client.Run(ctx) })
-	loads := load.New(d.node.Name, d.node.Zone, rand.Uint64(), creds, d.router, d.client, d.log)
-	g.Go(func() error { return loads.Run(ctx) })
+	g.Go(func() error { return d.loads.Run(ctx) })
 	g.Go(func() error {
 		return metricspage.ServeHTTP(ctx, d.node.Readiness.String(), platform.ReadinessHandler(d.ready))
 	})
@@ -170,6 +175,7 @@
 	}
 	d.client.SetSeeds(seedAddrs(n))
 	d.worker.SetLink(n.LinkBits)
+	d.loads.SetLink(n.LinkBits)
 	return nil
 }
 
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -147,8 +147,21 @@
 		c.log.Info().Uint64("revision", u.Evacuations.Revision).Interface("zones", u.Evacuations.Zones).Str("control", s.addr).
 			Msg("evacuations in force")
 	}
+	s.logChanged(changed)
+	if u.State && s.stateUpdates == 1 {
+		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
+	}
+	if version > 0 && u.Current && u.Complete && !c.synced.Swap(true) {
+		c.delayReturn(minReturnDelay + rand.N(returnDelay-minReturnDelay))
+		c.log.Info().Uint64("version", version).Int("backends", backends).Msg("ready")
+	}
+}
+
+// logChanged logs the backend servers that changed. Before readiness, when the whole
+// directory is new, it leaves out those that are available: control logs each of them.
+func (s *session) logChanged(changed []*token.Backend) {
+	c := s.client
 	for _, b := range changed {
-		// Before readiness the whole directory is new. Control logs each backend server.
 		if !c.Ready() && !b.Draining && !b.Gone && !b.Silent() {
 			continue
 		}
@@ -156,11 +169,4 @@
 			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Gone).Bool("silent", b.Silent()).
 			Str("control", s.addr).Msg("backend server changed")
 	}
-	if u.State && s.stateUpdates == 1 {
-		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
-	}
-	if version > 0 && u.Current && u.Complete && !c.synced.Swap(true) {
-		c.delayReturn(minReturnDelay + rand.N(returnDelay-minReturnDelay))
-		c.log.Info().Uint64("version", version).Int("backends", backends).Msg("ready")
-	}
 }
--- a/entry/load/client.go
+++ b/entry/load/client.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcerr"
 
@@ -26,12 +29,28 @@
 	// interval is the time between two reports. With the time that a call and the exchange
 	// between control instances take, a report is known to all well within load.Expiry.
 	interval = 250 * time.Millisecond
+	// maxInterval limits the interval where a report and its reply are large. It leaves
+	// time for a call that takes callTimeout before load.Expiry.
+	maxInterval = 600 * time.Millisecond
 	// callTimeout bounds a call, so that a control instance that doesn't answer delays the
 	// next report by less than half of load.Expiry.
 	callTimeout = 400 * time.Millisecond
 	// backoff is the time until the next report after a repeated failure, or if the control
 	// instance doesn't know the call.
 	backoff = time.Second
+	// linesPerSecond limits the log lines about lost and regained exchanges.
+	linesPerSecond = 1
+)
+
+// Limits on the bytes of the exchange, above which the interval grows.
+const (
+	// maxBytesPerSecond leaves the rest of the 30 KB/s for control at 940 entry instances
+	// to the directory and the keep-alives.
+	maxBytesPerSecond = 24e3
+	// linkShare is the share of the instance's link. Control may take 5 % in all.
+	linkShare = 0.04
+	// callOverhead is the size in bytes of the headers of the packets of a call.
+	callOverhead = 200
 )
 
 // Follower tells which control instance this entry instance follows.
@@ -40,27 +59,69 @@
 	Control() string
 }
 
+// Config holds the settings and dependencies of a Client.
+type Config struct {
+	Name string
+	Zone catkinrail.Zone
+	// Process is a random number that identifies this process.
+	Process uint64
+	Creds   *rpc.Credentials
+	Router  *packet.Router
+	Follow  Follower
+	Clock   catkinrail.Clock
+	Log     *logs.Logger
+	Metrics metrics.Registry
+}
+
 // Client sends the reports and applies the replies.
 type Client struct {
-	creds  *rpc.Credentials
-	router *packet.Router
-	follow Follower
-	log    *logs.Logger
+	cfg    Config
+	budget *logs.Budget
+	stats  stats
+	// bytesPerSecond is the limit on the bytes of the exchange, as a float64.
+	bytesPerSecond atomic.Uint64
 
 	report message.LoadReport
 	conn   *rpc.Client
-	// failures is the number of consecutive failures; lost is set after the first of them
-	// has been logged.
+	// sent and received are the connection's counters at the last exchange.
+	sent, received int64
+	// failures is the number of consecutive failures.
 	failures int
-	lost     bool
 }
 
-// New returns a client. Process is a random number that identifies this process.
-func New(name string, zone catkinrail.Zone, process uint64, creds *rpc.Credentials, r *packet.Router, f Follower, log *logs.Logger) *Client {
-	return &Client{
-		creds: creds, router: r, follow: f, log: log,
-		report: message.LoadReport{Name: name, Zone: zone, Process: process},
+// stats are the metrics of the exchange.
+type stats struct {
+	reports, failures, sent, received metrics.Counter
+	// age is the age of the view in milliseconds, rows the number of backend servers that
+	// others put load on, and instances that of the zone's reporting entry instances.
+	age, rows, instances metrics.Gauge
+}
+
+// New returns a client. It registers its metrics with the registry.
+func New(cfg Config) *Client {
+	reg := cfg.Metrics
+	c := &Client{
+		cfg: cfg, budget: logs.NewBudget(cfg.Clock, linesPerSecond),
+		stats: stats{
+			reports: metrics.GetOrRegisterCounter("load-reports", reg), failures: metrics.GetOrRegisterCounter("load-failures", reg),
+			sent: metrics.GetOrRegisterCounter("load-bytes-sent", reg), received: metrics.GetOrRegisterCounter("load-bytes-received", reg),
+			age: metrics.GetOrRegisterGauge("load-age-ms", reg), rows: metrics.GetOrRegisterGauge("load-rows", reg),
+			instances: metrics.GetOrRegisterGauge("load-instances", reg),
+		},
+		report: message.LoadReport{Name: cfg.Name, Zone: cfg.Zone, Process: cfg.Process},
 	}
+	c.SetLink(0)
+	return c
+}
+
+// SetLink sets the rate of the instance's link in bits a second. Anything but a positive
+// number means that the link is unlimited.
+func (c *Client) SetLink(bitsPerSecond float64) {
+	limit := maxBytesPerSecond
+	if bitsPerSecond > 0 {
+		limit = min(limit, bitsPerSecond/8*linkShare)
+	}
+	c.bytesPerSecond.Store(math.Float64bits(limit))
 }
 
 // Run exchanges loads until ctx ends.
@@ -70,6 +131,14 @@
 	delay := rand.N(interval)
 	for clock.Sleep(ctx, delay) {
 		delay = c.exchange(ctx)
+		c.cfg.Router.Do(func(e *token.Engine, now int64) {
+			v := e.LoadView()
+			c.stats.rows.Update(int64(v.Rows()))
+			c.stats.instances.Update(int64(v.Instances()))
+			if v.At() > 0 {
+				c.stats.age.Update(v.Age(now).Milliseconds())
+			}
+		})
 	}
 	return nil
 }
@@ -83,19 +152,21 @@
 
 // exchange sends a report if one is due, and returns the time until the next.
 func (c *Client) exchange(ctx context.Context) time.Duration {
-	addr := c.follow.Control()
+	addr := c.cfg.Follow.Control()
 	if addr == "" {
 		return interval
 	}
 	due := false
-	c.router.Do(func(e *token.Engine, now int64) { due = e.LoadReport(&c.report, now) })
+	c.cfg.Router.Do(func(e *token.Engine, now int64) { due = e.LoadReport(&c.report, now) })
 	if !due {
 		return interval
 	}
 	if c.conn == nil || c.conn.Addr() != addr {
 		c.close()
-		c.conn = rpc.NewClient(addr, c.creds)
+		c.conn = rpc.NewClient(addr, c.cfg.Creds)
+		c.sent, c.received = 0, 0
 	}
+	c.stats.reports.Inc(1)
 	var reply message.LoadReply
 	err := c.conn.Call(ctx, "load", callTimeout, func(ctx context.Context, conn drpc.Conn) error {
 		body, err := cluster.Encode(&c.report)
@@ -108,27 +179,50 @@
 		}
 		return cluster.DecodeCompressed(f.GetBody(), &reply)
 	})
+	bytes := c.countBytes()
 	if err != nil {
 		return c.recordFailure(ctx, addr, err)
 	}
-	c.router.Do(func(e *token.Engine, now int64) { e.ApplyLoad(&reply, now) })
-	if c.lost {
-		c.log.Info().Str("control", addr).Int("failures", c.failures).Msg("exchange of loads regained")
+	c.cfg.Router.Do(func(e *token.Engine, now int64) { e.ApplyLoad(&reply, now) })
+	if c.failures > 0 {
+		if skipped, ok := c.budget.Allow(); ok {
+			c.cfg.Log.Info().Str("control", addr).Int("failures", c.failures).Uint64("skipped", skipped).Msg("exchange of loads regained")
+		}
 	}
-	c.failures, c.lost = 0, false
-	return interval
+	c.failures = 0
+	return c.nextInterval(bytes)
+}
+
+// countBytes returns the number of bytes of the exchange.
+func (c *Client) countBytes() int64 {
+	sent, received := c.conn.Bytes()
+	out, in := sent-c.sent, received-c.received
+	c.sent, c.received = sent, received
+	c.stats.sent.Inc(out)
+	c.stats.received.Inc(in)
+	return out + in
+}
+
+// nextInterval returns the time until the next report after an exchange of that many
+// bytes. It grows before the limit on bytes is exceeded.
+func (c *Client) nextInterval(bytes int64) time.Duration {
+	limit := math.Float64frombits(c.bytesPerSecond.Load())
+	d := time.Duration(float64(bytes+callOverhead) / limit * float64(time.Second))
+	return min(max(d, interval), maxInterval)
 }
 
-// recordFailure records a failed call and returns the time until the next report. One
-// failure is logged until calls succeed again.
+// recordFailure records a failed call and returns the time until the next report. Only the
+// first of several failures in a row is logged.
 func (c *Client) recordFailure(ctx context.Context, addr string, err error) time.Duration {
 	if ctx.Err() != nil {
 		return interval
 	}
 	c.failures++
-	if !c.lost {
-		c.lost = true
-		c.log.Warn(err).Str("control", addr).Msg("exchange of loads failed; placement goes on without it")
+	c.stats.failures.Inc(1)
+	if c.failures == 1 {
+		if skipped, ok := c.budget.Allow(); ok {
+			c.cfg.Log.Warn(err).Str("control", addr).Uint64("skipped", skipped).Msg("exchange of loads lost")
+		}
 	}
 	if c.failures > 1 || drpcerr.Code(err) == drpcerr.Unimplemented {
 		return backoff
