evacuation: take orders at any control instance and keep new flows out of evacuated zones

Cause: evacuations were in the replicated state and in the entry instances' streams, but no call could give an order. A copy of an opening packet that had first gone to a backend server of an evacuated zone was still sent there, and an order that changes nothing could have been acknowledged by a leader that had been replaced.

Change: control/evacuation forwards orders to the leader, with the revision of the evacuations that were in force here when the order was received. The platform's calls Evacuations.Start and Evacuations.End use it. A start needs the feature FeatureEvacuation of all voters; instances announce theirs when they join, and after an upgrade once the leader has announced its own. An order without a change is acknowledged once a majority has confirmed the leader. Copies of opening packets leave an evacuated zone, or are dropped; if all zones are evacuated, a first opening packet is refused with the reason evacuated.

The property test of the token engine found that a flow on an earlier incarnation escaped the evacuation; mended.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -18,6 +18,7 @@
 	"catkinrail.example/catkinrail/control/core"
 	"catkinrail.example/catkinrail/control/document"
 	"catkinrail.example/catkinrail/control/entry"
+	"catkinrail.example/catkinrail/control/evacuation"
 	"catkinrail.example/catkinrail/control/follow"
 	"catkinrail.example/catkinrail/control/gossip"
 	"catkinrail.example/catkinrail/control/load"
@@ -42,7 +43,9 @@
 	joinInterval      = 200 * time.Millisecond
 	bootstrapInterval = 200 * time.Millisecond
 	contactInterval   = 500 * time.Millisecond
-	startTimeout      = 5 * time.Second
+	// announceInterval is the least time between two requests that only announce features.
+	announceInterval = time.Second
+	startTimeout     = 5 * time.Second
 )
 
 // daemon runs a control instance. Its creator sets cfg, log and bootstrap; the method
@@ -65,7 +68,9 @@
 
 // self returns this instance's name, zone and addresses as other instances know them.
 func (d *daemon) self() quorum.Peer {
-	return quorum.Peer{Name: d.cfg.Name, Addr: d.cfg.Address, Zone: string(d.cfg.Zone), Public: d.cfg.Public}
+	return quorum.Peer{
+		Name: d.cfg.Name, Addr: d.cfg.Address, Zone: string(d.cfg.Zone), Public: d.cfg.Public, Features: quorum.AllFeatures,
+	}
 }
 
 // seeds returns the addresses of control instances in the current settings.
@@ -222,8 +227,10 @@
 	}
 	if d.cfg.Public != "" {
 		dir.Start(ctx)
-		store := document.New(c, rpc.NewPool(d.creds), clk, reg)
-		h := platform.ControlHandler(dir, store, clk, d.log)
+		clients := rpc.NewPool(d.creds)
+		documents := document.New(c, clients, clk, reg)
+		evacuations := evacuation.New(c, clients, evacuation.NewZones(c, d.cfg.Zones, dir, streams), clk, reg)
+		h := platform.ControlHandler(dir, documents, evacuations, clk, d.log)
 		g.Go(func() error { return metricspage.ServeHTTP(ctx, d.cfg.Public, h) })
 	}
 	d.log.Info().Str("address", d.cfg.Address).Uint64("node", uint64(d.identity.Node)).Msg("started")
@@ -248,14 +255,20 @@
 
 // keepJoined requests to join, at an interval, while this instance isn't a voter with
 // its own name and addresses. It also does so while the instance is out of contact
-// with a leader, since it may have been removed in that time.
+// with a leader, since it may have been removed in that time. After an upgrade it
+// announces its features in the same way, once the leader has announced its own.
 func (d *daemon) keepJoined(ctx context.Context, c *core.Core, v *voter.Transport) error {
 	req := &message.JoinRequest{Node: d.identity.Node, Peer: d.self()}
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
+	var announced time.Time
 	for i := 0; ; i++ {
-		if !c.Joined(req.Peer) {
+		switch now := d.clock.Now(); {
+		case !c.Joined(req.Peer):
 			d.requestJoin(ctx, c, v, req, i)
+		case c.MayAnnounce(req.Peer) && now.Sub(announced) >= announceInterval:
+			announced = now
+			d.requestJoin(ctx, c, v, req, toLeader)
 		}
 		select {
 		case <-ctx.Done():
@@ -265,6 +278,9 @@
 	}
 }
 
+// toLeader is the number of an attempt that goes to the leader.
+const toLeader = 0
+
 // requestJoin sends a join request. Even attempts go to the leader if one is known,
 // the others to the known instances in turn. A leader sends it to itself, so that its
 // own name and addresses get updated.
--- a/control/cmd/catkinrail-control/platform.go
+++ b/control/cmd/catkinrail-control/platform.go
@@ -33,7 +33,7 @@
 		return nil, fmt.Errorf("%s: a control instance needs both listen.control and data_dir", file)
 	}
 	cfg := &Settings{
-		Name: n.Name, Zone: n.Zone, Address: n.Internal.String(), Listen: n.InternalListen.String(), Data: n.Data, Lease: defaultLease,
+		Name: n.Name, Zone: n.Zone, Zones: n.Zones, Address: n.Internal.String(), Listen: n.InternalListen.String(), Data: n.Data, Lease: defaultLease,
 		Public: n.Control.String(), EvictAfter: evictAfter, SilentAfter: missedReports*n.ReportInterval + reportTimeout,
 		Metrics: n.Metrics.String(), TLS: rpc.TLSSettings{TrustedNetwork: true},
 		Log: logs.Settings{Level: "info"}, NoLeases: true, firstStart: n.FirstStart,
--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -26,6 +26,9 @@
 type Settings struct {
 	Name string          `yaml:"name"`
 	Zone catkinrail.Zone `yaml:"zone"`
+	// Zones are the availability zones of the deployment, if they are known; others become
+	// known by their backend servers and entry instances.
+	Zones []catkinrail.Zone `yaml:"zones"`
 	// Address is the address at which other instances and operators reach this one.
 	Address string `yaml:"address"`
 	// Listen is the address to listen on for their calls; empty for Address.
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -129,6 +129,9 @@
 	// evaluate returns the events to propose, and the answer to the request.
 	evaluate func(*cluster.State) ([]cluster.Event, *cluster.Answer, error)
 	answer   *cluster.Answer
+	// confirm is set if a majority must confirm the leader before the result of a proposal
+	// without events is given.
+	confirm bool
 	// done receives the result; nil if nobody waits for it.
 	done chan Result
 	// index and term are those of the proposal's entry in the log.
@@ -460,6 +463,13 @@
 // flight at a time.
 func (c *Core) propose(p *proposal) {
 	events, answer, err := p.evaluate(c.state)
+	if err == nil {
+		err = c.checkFeatures(events)
+	}
+	if err == nil && len(events) == 0 && p.confirm {
+		c.confirmLeader(func(err error) { p.finish(Result{Answer: answer, Err: err}) })
+		return
+	}
 	if err != nil || len(events) == 0 {
 		p.finish(Result{Answer: answer, Err: err})
 		return
@@ -481,7 +491,11 @@
 // Submit proposes the events that evaluate returns and waits until they are
 // applied. If evaluate returns no events, its answer is returned at once.
 func (c *Core) Submit(ctx context.Context, evaluate func(*cluster.State) ([]cluster.Event, *cluster.Answer, error)) (*cluster.Answer, error) {
-	p := &proposal{evaluate: evaluate, done: make(chan Result, 1)}
+	return c.submit(ctx, &proposal{evaluate: evaluate, done: make(chan Result, 1)})
+}
+
+// submit queues a proposal and waits for its result.
+func (c *Core) submit(ctx context.Context, p *proposal) (*cluster.Answer, error) {
 	if err := c.do(ctx, func() { c.pending = append(c.pending, p) }); err != nil {
 		if errors.Is(err, ErrNotLeader) {
 			return nil, err
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/state/cluster"
 )
@@ -110,17 +109,13 @@
 	}
 }
 
-// Evacuate proposes an evacuation order on the leader and waits until it is applied.
-func (c *Core) Evacuate(ctx context.Context, o *plan.EvacuationOrder) error {
-	return c.SubmitEvents(ctx, func(s *cluster.State) ([]cluster.Event, error) { return plan.Evacuate(s, o) })
-}
-
 // pendingRead is a read that waits for a majority to confirm the leader.
 type pendingRead struct {
 	// mark and term identify the read to the node.
 	mark int64
 	term uint64
-	done chan error
+	// finish receives nil once the leader is confirmed, or an error.
+	finish func(error)
 }
 
 // ReadIndex returns, on the leader, the index that must be applied before a read
@@ -146,12 +141,18 @@
 // answered. done receives nil once a majority has confirmed the leader, or an error
 // if this instance doesn't lead.
 func (c *Core) beginRead(done chan error) uint64 {
+	return c.confirmLeader(func(err error) { done <- err })
+}
+
+// confirmLeader calls finish with nil once a majority has confirmed the leader, or with an
+// error if this instance doesn't lead. It returns the index that is committed now.
+func (c *Core) confirmLeader(finish func(error)) uint64 {
 	mark, index, err := c.node.BeginRead(c.now())
 	if err != nil {
-		done <- c.leaderError()
+		finish(c.leaderError())
 		return 0
 	}
-	c.reads = append(c.reads, pendingRead{mark: mark, term: c.node.Term(), done: done})
+	c.reads = append(c.reads, pendingRead{mark: mark, term: c.node.Term(), finish: finish})
 	return index
 }
 
@@ -161,9 +162,9 @@
 	c.reads = slices.DeleteFunc(c.reads, func(r pendingRead) bool {
 		switch {
 		case c.node.Role() != quorum.Leader || c.node.Term() != r.term:
-			r.done <- c.leaderError()
+			r.finish(c.leaderError())
 		case c.node.ReadConfirmed(r.mark):
-			r.done <- nil
+			r.finish(nil)
 		default:
 			return false
 		}
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -35,7 +35,21 @@
 // addresses, and was in sync with a leader within memberTimeout.
 func (c *Core) Joined(self quorum.Peer) bool {
 	s := c.Published()
-	return s.Members.Voter(s.Node) && s.Members.Nodes[s.Node] == self && c.now()-c.Synced() < int64(memberTimeout)
+	known := s.Members.Nodes[s.Node]
+	// A leader of an older build doesn't record features.
+	known.Features = self.Features
+	return s.Members.Voter(s.Node) && known == self && c.now()-c.Synced() < int64(memberTimeout)
+}
+
+// MayAnnounce reports whether this instance's features differ from those that the members
+// know and the leader can record them: it is this instance, or has announced its own. A leader
+// of an older build would drop them.
+func (c *Core) MayAnnounce(self quorum.Peer) bool {
+	s := c.Published()
+	if s.Members.Nodes[s.Node].Features == self.Features {
+		return false
+	}
+	return s.Leader == s.Node || s.Members.Nodes[s.Leader].Features != 0
 }
 
 // Join takes one step towards a vote for an instance: it is added as a learner,
--- a/control/core/recover.go
+++ b/control/core/recover.go
@@ -71,7 +71,7 @@
 		c.inFlight = nil
 	}
 	for _, r := range c.reads {
-		r.done <- c.leaderError()
+		r.finish(c.leaderError())
 	}
 	c.reads = nil
 }
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -214,5 +214,8 @@
 	if errors.Is(err, core.ErrNotLeader) {
 		return drpcerr.WithCode(err, uint64(api.Code_NOT_LEADER))
 	}
+	if errors.Is(err, plan.ErrConflict) {
+		return drpcerr.WithCode(err, uint64(api.Code_CONFLICT))
+	}
 	return err
 }
--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -199,6 +199,14 @@
 	return d.dir.Since(revision, d.now()), d.dir.LastChange(), d.changed
 }
 
+// HasZone reports whether the directory holds a backend server of the zone that has not
+// ended.
+func (d *Directory) HasZone(zone catkinrail.Zone) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dir.HasZone(zone)
+}
+
 // Complete reports whether the directory holds what the other control instances
 // knew when this one started: it has received the whole directory of one of them,
 // or has no peers.
--- a/coordination/quorum/message.go
+++ b/coordination/quorum/message.go
@@ -57,6 +57,31 @@
 	Zone string `cbor:"3,keyasint,omitempty"`
 	// Public is the address for backend servers and operators, if there is one.
 	Public string `cbor:"4,keyasint,omitempty"`
+	// Features are those that the instance announced; none for builds that announce none.
+	Features Features `cbor:"5,keyasint,omitempty"`
+}
+
+// Features is a set of abilities that builds of control instances differ in.
+type Features uint32
+
+// Features of control instances.
+const (
+	// FeatureEvacuation is set if the instance knows evacuations of zones in the
+	// replicated state.
+	FeatureEvacuation Features = 1 << iota
+)
+
+// AllFeatures are the features of this build.
+const AllFeatures = FeatureEvacuation
+
+// Announce reports whether every voter has announced all of the features.
+func (m *Members) Announce(want Features) bool {
+	for id, p := range m.Nodes {
+		if m.Voter(id) && p.Features&want != want {
+			return false
+		}
+	}
+	return true
 }
 
 // Voter reports whether the node has a vote.
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -68,6 +68,9 @@
 	// ReasonLink is a new flow that was shed because its packets would wait too long for
 	// this instance's link.
 	ReasonLink
+	// ReasonEvacuated is a new flow to a service whose backend servers are all in
+	// evacuated zones.
+	ReasonEvacuated
 	numReasons
 )
 
@@ -75,7 +78,7 @@
 func (r Reason) String() string {
 	names := [numReasons]string{
 		"placed", "copy", "next", "token", "no-route", "stale", "no-backend",
-		"unknown-token", "gone", "no-document", "overload", "link",
+		"unknown-token", "gone", "no-document", "overload", "link", "evacuated",
 	}
 	if r >= numReasons {
 		return "unknown"
@@ -290,9 +293,10 @@
 	if e.linkFull(r) {
 		return e.shed(p, ReasonLink)
 	}
-	b := e.place(r.Pick(e.rng.Uint64()), nil, now)
+	service := r.Pick(e.rng.Uint64())
+	b := e.place(service, nil, now)
 	if b == nil {
-		return e.refuse(p, ReasonNoBackend, now)
+		return e.refuse(p, e.unplacedReason(service), now)
 	}
 	e.track(p, b, now)
 	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b, Class: egress.ClassOpening}
@@ -351,12 +355,20 @@
 // openCopy decides what to do with a copy of an opening packet.
 func (e *Engine) openCopy(p *catkinrail.TokenPacket, f *flow, now int64) Verdict {
 	f.lastSeen = now
-	if f.open || now-f.openedAt < int64(retransmitGap) {
+	// The flow's backend server may be an earlier incarnation, which SetEvacuations doesn't reach.
+	evacuated := !f.open && e.isEvacuated(f.backend.Zone)
+	unanswered := now-f.openedAt >= int64(retransmitGap)
+	if f.open || (!unanswered && !evacuated) {
 		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
 	}
-	e.recordMiss(f, now)
+	if unanswered {
+		e.recordMiss(f, now)
+	}
 	next := e.place(f.backend.Service, f.backend, now)
-	if next == nil || next == f.previous {
+	if next == nil && evacuated {
+		return Verdict{Action: Drop, Reason: ReasonEvacuated}
+	}
+	if next == nil || (next == f.previous && !evacuated) {
 		f.openedAt = now
 		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
 	}
@@ -369,6 +381,16 @@
 	return Verdict{Action: Forward, Reason: ReasonNext, Backend: next, Class: egress.ClassOpening}
 }
 
+// unplacedReason returns why no backend server of the service takes a new flow.
+func (e *Engine) unplacedReason(service string) Reason {
+	for _, b := range e.services[service] {
+		if b.evacuated && !b.Draining {
+			return ReasonEvacuated
+		}
+	}
+	return ReasonNoBackend
+}
+
 // place returns the backend server for a new flow, other than the one to avoid,
 // or nil if there is none.
 func (e *Engine) place(service string, avoid *Backend, now int64) *Backend {
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -322,3 +322,13 @@
 	}
 	return 0
 }
+
+// HasZone reports whether an incarnation in the zone has not ended.
+func (d *Directory) HasZone(zone catkinrail.Zone) bool {
+	for _, e := range d.entries {
+		if e.inc.Zone == zone && !e.inc.Gone {
+			return true
+		}
+	}
+	return false
+}
