evacuation: call EvacuateZone, catkinctl zone evacuate|return, buckets and flows by zone

Cause: an evacuation could only be ordered by the platform's calls, moved no buckets, and nothing showed when a zone is empty.

Change: the call EvacuateZone carries a request identifier, so that a retry returns the first answer. An order drains the zone's active backend servers and its end readmits just these (Backend.Evacuated); those that appear, restart, recover or are readmitted meanwhile drain too. catkinctl status, watch and directory show evacuated zones, and directory the revision that each entry instance was sent. Entry instances export the open flows by zone (flows_open), the revision and the number of evacuated zones. session.apply is split, since the linter found it too complex.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -209,10 +209,15 @@
 		SilentAfter: d.cfg.SilentAfter, Members: func() *quorum.Members { return c.Published().Members }, Dir: d.dir,
 	})
 	streams := follow.New(c, dir, clk, d.log)
+	zones := evacuation.NewZones(c, d.cfg.Zones, dir, streams)
+	if d.cfg.Public == "" {
+		// No backend server reports to this instance, so its directory is always empty.
+		zones = evacuation.NewZones(c, d.cfg.Zones, nil, streams)
+	}
 	mux := drpcmux.New()
 	err = errors.Join(
 		control.DRPCRegisterControl(mux, entry.New(c, dir, streams, load.New())),
-		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, clk)),
+		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, zones, clk)),
 	)
 	if err != nil {
 		return err
@@ -229,7 +234,7 @@
 		dir.Start(ctx)
 		clients := rpc.NewPool(d.creds)
 		documents := document.New(c, clients, clk, reg)
-		evacuations := evacuation.New(c, clients, evacuation.NewZones(c, d.cfg.Zones, dir, streams), clk, reg)
+		evacuations := evacuation.New(c, clients, zones, clk, reg)
 		h := platform.ControlHandler(dir, documents, evacuations, clk, d.log)
 		g.Go(func() error { return metricspage.ServeHTTP(ctx, d.cfg.Public, h) })
 	}
--- a/control/follow/followers.go
+++ b/control/follow/followers.go
@@ -16,6 +16,8 @@
 	// Document is the version of the document that it had at the start of the
 	// stream or was last sent.
 	Document uint64
+	// Evacuations is the revision of the evacuations that it was sent in the stream.
+	Evacuations uint64
 	// StartedAt is the time at which the stream started.
 	StartedAt time.Time
 }
--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -61,8 +61,6 @@
 	members  *quorum.Members
 	current  bool
 	complete bool
-	// evacuations is the revision of the evacuations that were sent.
-	evacuations uint64
 }
 
 // Serve sends updates to an entry instance until ctx ends or an update fails, and
@@ -128,7 +126,7 @@
 			advanced = st.core.Advanced()
 			published := st.core.Published()
 			if documentVersion(published) <= st.Document && published.Members == st.members &&
-				evacuationsRevision(published) <= st.evacuations {
+				evacuationsRevision(published) <= st.Evacuations {
 				continue
 			}
 			if st.awaited() {
@@ -188,7 +186,7 @@
 		st.Document = v
 		st.record()
 	}
-	if r := evacuationsRevision(published); r > st.evacuations && current {
+	if r := evacuationsRevision(published); r > st.Evacuations && current {
 		body, err := cluster.EncodeCompressed(&message.FollowUpdate{Evacuations: published.Evacuations})
 		if err != nil {
 			return nil, err
@@ -196,7 +194,8 @@
 		if err := st.send(body); err != nil {
 			return nil, err
 		}
-		st.evacuations = r
+		st.Evacuations = r
+		st.record()
 	}
 	changed, err := st.sendBackends(now)
 	if err != nil {
--- a/control/operator/directory.go
+++ b/control/operator/directory.go
@@ -19,9 +19,11 @@
 	}
 	now := s.clock.Now()
 	reply := &api.DirectoryReply{Control: s.name, Current: s.follow.InContact()}
-	if d := s.core.Published().Document; d != nil {
+	published := s.core.Published()
+	if d := published.Document; d != nil {
 		reply.DocumentVersion = d.Version
 	}
+	reply.Evacuations, reply.EvacuatedZones = describeEvacuations(published.Evacuations)
 	list, _, _ := s.dir.Since(0)
 	for i := range list {
 		reply.BackendServers = append(reply.BackendServers, describeReportingServer(&list[i], now))
@@ -32,6 +34,7 @@
 	for _, f := range s.follow.Followers() {
 		reply.Followers = append(reply.Followers, &api.Follower{
 			Name: f.Name, Zone: string(f.Zone), DocumentVersion: f.Document, AgeMs: now.Sub(f.StartedAt).Milliseconds(),
+			Evacuations: f.Evacuations,
 		})
 	}
 	return reply, nil
--- a/control/operator/read.go
+++ b/control/operator/read.go
@@ -179,6 +179,18 @@
 	for _, z := range cluster.SortedKeys(state.LostZones) {
 		r.LostZones = append(r.LostZones, string(z))
 	}
+	_, r.EvacuatedZones = describeEvacuations(state.Evacuations)
+}
+
+// describeEvacuations returns the revision of the evacuations and the evacuated zones.
+func describeEvacuations(e *catkinrail.Evacuations) (revision uint64, zones []string) {
+	if e == nil {
+		return 0, nil
+	}
+	for _, z := range e.Zones {
+		zones = append(zones, string(z))
+	}
+	return e.Revision, zones
 }
 
 // sortedNodes returns the members' ids, sorted by name.
--- a/control/operator/server.go
+++ b/control/operator/server.go
@@ -12,6 +12,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/core"
+	"catkinrail.example/catkinrail/control/evacuation"
 	"catkinrail.example/catkinrail/control/follow"
 	"catkinrail.example/catkinrail/control/gossip"
 	"catkinrail.example/catkinrail/coordination/plan"
@@ -26,13 +27,14 @@
 	core   *core.Core
 	dir    *gossip.Directory
 	follow *follow.Server
+	zones  *evacuation.Zones
 	clock  catkinrail.Clock
 }
 
-// New returns a server on top of the core, the directory and the streams to entry
-// instances of the control instance with the given name.
-func New(name string, c *core.Core, dir *gossip.Directory, f *follow.Server, clock catkinrail.Clock) *Server {
-	return &Server{name: name, core: c, dir: dir, follow: f, clock: clock}
+// New returns a server on top of the core, the directory, the streams to entry instances and
+// the known zones of the control instance with the given name.
+func New(name string, c *core.Core, dir *gossip.Directory, f *follow.Server, zones *evacuation.Zones, clock catkinrail.Clock) *Server {
+	return &Server{name: name, core: c, dir: dir, follow: f, zones: zones, clock: clock}
 }
 
 var _ api.DRPCOperatorServer = (*Server)(nil)
@@ -44,6 +46,8 @@
 }{
 	{core.ErrNotLeader, api.Code_NOT_LEADER},
 	{core.ErrNotRun, api.Code_NOT_RUN},
+	{core.ErrFeatureMissing, api.Code_NOT_RUN},
+	{catkinrail.ErrUnavailable, api.Code_NOT_RUN},
 	{core.ErrUnknown, api.Code_UNKNOWN},
 	{rpc.ErrRole, api.Code_FORBIDDEN},
 	{plan.ErrReportedNotRun, api.Code_NOT_RUN},
@@ -111,6 +115,7 @@
 // describeEvents returns a summary of the events for operators.
 func describeEvents(events []cluster.Event) string {
 	services, backends, buckets, others := 0, 0, 0, 0
+	zones := ""
 	for i := range events {
 		switch e := &events[i]; {
 		case e.ServicePut != nil || e.ServiceDeleted != 0:
@@ -119,12 +124,16 @@
 			backends++
 		case e.BucketsSet != nil:
 			buckets += len(e.BucketsSet.Buckets)
+		case e.ZoneEvacuated != nil && e.ZoneEvacuated.Evacuated:
+			zones += fmt.Sprintf("availability zone %s is evacuated; ", e.ZoneEvacuated.Zone)
+		case e.ZoneEvacuated != nil:
+			zones += fmt.Sprintf("the evacuation of availability zone %s ends; ", e.ZoneEvacuated.Zone)
 		case e.Answer == nil && e.MovePut == nil && e.MoveRemoved == 0:
 			others++
 		}
 	}
-	return fmt.Sprintf("%d services, %d backend servers, %d buckets and %d other records change",
-		services, backends, buckets, others)
+	return fmt.Sprintf("%s%d services, %d backend servers, %d buckets and %d other records change",
+		zones, services, backends, buckets, others)
 }
 
 // CreateService implements api.DRPCOperatorServer.
@@ -199,6 +208,32 @@
 	return s.change(ctx, r.GetChange(), &plan.Command{Zone: z})
 }
 
+// EvacuateZone implements api.DRPCOperatorServer.
+func (s *Server) EvacuateZone(ctx context.Context, r *api.EvacuateZoneRequest) (*api.ChangeReply, error) {
+	z := &cluster.ZoneEvacuated{Zone: catkinrail.Zone(r.GetZone()), Evacuated: r.GetEvacuated()}
+	if err := s.checkZone(ctx, z.Zone, r.GetChange().GetRequest()); err != nil {
+		return nil, withCode(err)
+	}
+	return s.change(ctx, r.GetChange(), &plan.Command{Evacuate: z})
+}
+
+// checkZone returns an error if this instance leads and knows no such zone. The zone of a request
+// that was answered before may no longer be known.
+func (s *Server) checkZone(ctx context.Context, zone catkinrail.Zone, request string) error {
+	if err := rpc.RequireRole(ctx, rpc.RoleOperator); err != nil {
+		return err
+	}
+	unknown := s.zones.Check(zone)
+	if unknown == nil {
+		return nil
+	}
+	return errors.Join(s.core.Local(ctx, func(state *cluster.State, status *core.Status) {
+		if !status.Leading || state.HasZone(zone) || state.FindAnswer(request) != nil {
+			unknown = nil
+		}
+	}), unknown)
+}
+
 // Outcome implements api.DRPCOperatorServer.
 func (s *Server) Outcome(ctx context.Context, r *api.OutcomeRequest) (*api.ChangeReply, error) {
 	if err := rpc.RequireRole(ctx, rpc.RoleOperator); err != nil {
--- a/coordination/plan/command.go
+++ b/coordination/plan/command.go
@@ -37,6 +37,8 @@
 	// Remove declares an entry instance lost for good.
 	Remove *string           `cbor:"8,keyasint,omitempty"`
 	Zone   *cluster.ZoneLost `cbor:"9,keyasint,omitempty"`
+	// Evacuate begins or ends the evacuation of a zone.
+	Evacuate *cluster.ZoneEvacuated `cbor:"10,keyasint,omitempty"`
 }
 
 // BackendRef refers to a backend server of a service by name.
@@ -120,6 +122,8 @@
 		return d.remove(*c.Remove)
 	case c.Zone != nil:
 		return d.declareZone(c.Zone)
+	case c.Evacuate != nil:
+		return d.evacuate(c.Evacuate)
 	}
 	return "", fmt.Errorf("command is empty: %w", ErrInvalid)
 }
@@ -204,11 +208,13 @@
 	}
 	put := *b
 	put.Drained = drained
-	put.State = catkinrail.BackendActive
+	d.setState(&put, false)
 	verb := "readmitted"
-	if drained {
-		put.State = catkinrail.BackendDraining
+	switch {
+	case drained:
 		verb = "draining"
+	case put.Evacuated:
+		verb = "readmitted once the evacuation of its zone ends"
 	}
 	d.putBackend(svc, &put)
 	return fmt.Sprintf("backend server %s %s", ref.Name, verb), nil
--- a/coordination/plan/members.go
+++ b/coordination/plan/members.go
@@ -85,7 +85,7 @@
 		b.Weight = max(b.FullWeight/warmUpSteps, 1)
 	}
 	b.Drained = old != nil && old.Drained
-	b.State = announcedState(b, a)
+	d.setState(b, a.Draining)
 	changed := []*catkinrail.Backend{b}
 	if old != nil && old.State != catkinrail.BackendGone {
 		ended := *old
@@ -136,9 +136,9 @@
 	}
 	put.Silent = false
 	if old.State != catkinrail.BackendEjected || old.Silent {
-		put.State = announcedState(&put, a)
+		d.setState(&put, a.Draining)
 	}
-	if put.State == old.State && put.FullWeight == old.FullWeight {
+	if put.State == old.State && put.Evacuated == old.Evacuated && put.FullWeight == old.FullWeight {
 		return
 	}
 	d.putBackend(svc, &put)
@@ -161,11 +161,14 @@
 	return a.Weight
 }
 
-func announcedState(b *catkinrail.Backend, a *Announcement) catkinrail.BackendState {
-	if b.Drained || a.Draining {
-		return catkinrail.BackendDraining
+// setState sets whether a backend server drains: because it announces so, because an operator
+// drains it, or because its zone is evacuated.
+func (d *draft) setState(b *catkinrail.Backend, announced bool) {
+	b.Evacuated = !announced && !b.Drained && d.state.Evacuated(b.Zone)
+	b.State = catkinrail.BackendActive
+	if announced || b.Drained || b.Evacuated {
+		b.State = catkinrail.BackendDraining
 	}
-	return catkinrail.BackendActive
 }
 
 // Expire returns the events that end backend servers which stopped announcing
@@ -193,21 +196,23 @@
 func Eject(s *cluster.State, failed, healthy []catkinrail.BackendID) []cluster.Event {
 	d := &draft{state: s}
 	byService := map[catkinrail.ServiceID][]*catkinrail.Backend{}
-	put := func(b *catkinrail.Backend, state catkinrail.BackendState) {
-		c := *b
-		c.State = state
-		d.add(cluster.Event{BackendPut: &c})
-		byService[b.Service] = append(byService[b.Service], &c)
+	put := func(b *catkinrail.Backend) {
+		d.add(cluster.Event{BackendPut: b})
+		byService[b.Service] = append(byService[b.Service], b)
 	}
 	for _, id := range healthy {
 		if b := s.Backends[id]; b != nil && b.State == catkinrail.BackendEjected {
-			put(b, catkinrail.BackendActive)
+			c := *b
+			d.setState(&c, false)
+			put(&c)
 		}
 	}
 	for _, id := range failed {
 		b := s.Backends[id]
 		if b != nil && b.State == catkinrail.BackendActive && ejectable(s, b.Service, byService[b.Service]) {
-			put(b, catkinrail.BackendEjected)
+			c := *b
+			c.State = catkinrail.BackendEjected
+			put(&c)
 		}
 	}
 	d.rebalanceAll(byService)
--- a/coordination/token/evacuation_test.go
+++ b/coordination/token/evacuation_test.go
@@ -70,6 +70,30 @@
 	}
 }
 
+// TestOpenFlowsByZone checks the number by which an operator sees that a zone is empty: pending
+// handshakes and flows that have closed must not count.
+func TestOpenFlowsByZone(t *testing.T) {
+	e := newEngine(inZone("a", "a", 1), inZone("b", "b", 2))
+	count := func() map[catkinrail.Zone]int {
+		m := map[catkinrail.Zone]int{}
+		e.OpenFlows(m)
+		return m
+	}
+	require.Equal(t, catkinrail.Zone("a"), e.Decide(opening(1, 0), 0).Backend.Zone)
+	require.Equal(t, map[catkinrail.Zone]int{"a": 0, "b": 0}, count())
+	e.Decide(data(1, 1, 2, 100, 0), 2*ms)
+	e.SetEvacuations(evacuations(7, "a"))
+	e.Decide(opening(2, 0), 3*ms)
+	e.Decide(data(2, 2, 3, 100, 0), 4*ms)
+	require.Equal(t, map[catkinrail.Zone]int{"a": 1, "b": 1}, count())
+	closing := data(1, 1, 2, 100, 0)
+	closing.Closing = true
+	e.Decide(closing, 5*ms)
+	require.Equal(t, map[catkinrail.Zone]int{"a": 0, "b": 1}, count())
+	e.Tick(int64(time.Minute))
+	require.Equal(t, map[catkinrail.Zone]int{"a": 0, "b": 0}, count())
+}
+
 // TestNoOlderEvacuations moves an entry instance to a control instance that is behind: it must
 // keep what it has, and follow a newer revision.
 func TestNoOlderEvacuations(t *testing.T) {
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -46,6 +46,19 @@
 	return slices.Contains(e.evacuations.Zones, zone)
 }
 
+// Evacuations returns the evacuations in force.
+func (e *Engine) Evacuations() catkinrail.Evacuations {
+	return e.evacuations
+}
+
+// OpenFlows adds, for each zone with a backend server, the number of open flows that are tracked
+// on its backend servers to counts.
+func (e *Engine) OpenFlows(counts map[catkinrail.Zone]int) {
+	for _, b := range e.backends {
+		counts[b.Zone] += b.flows - b.pendingHandshakes
+	}
+}
+
 // Version returns the version of the document in force, or zero.
 func (e *Engine) Version() uint64 {
 	if e.document == nil {
--- a/ctl/commands/commands.go
+++ b/ctl/commands/commands.go
@@ -60,7 +60,7 @@
 	serviceCreate, serviceChange, serviceDelete, serviceList, serviceShow,
 	backendList, backendDrain, backendReadmit,
 	instanceList, instanceRemove,
-	zoneLost, zoneRestored,
+	zoneLost, zoneRestored, zoneEvacuate, zoneReturn,
 	status, directory, watch, outcome, burnReport, checkSettings, explainFlow, logReport,
 }
 
--- a/ctl/commands/directory.go
+++ b/ctl/commands/directory.go
@@ -1,9 +1,11 @@
 package commands
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"catkinrail.example/catkinrail/protocol/api"
@@ -31,17 +33,19 @@
 	})
 }
 
-// writeDirectory writes the document in force at each control instance, the entry
+// writeDirectory writes the document and the evacuations in force at each control instance, the entry
 // instances that follow it, and the directory of the first one in the list.
 func writeDirectory(w io.Writer, list []*api.DirectoryReply) {
-	fmt.Fprintln(w, "CONTROL\tIN TOUCH\tDOCUMENT\tBACKEND SERVERS")
+	fmt.Fprintln(w, "CONTROL\tIN TOUCH\tDOCUMENT\tBACKEND SERVERS\tEVACUATIONS\tEVACUATED ZONES")
 	for _, r := range list {
-		fmt.Fprintf(w, "%s\t%t\t%d\t%d\n", r.GetControl(), r.GetCurrent(), r.GetDocumentVersion(), len(r.GetBackendServers()))
+		fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%d\t%s\n", r.GetControl(), r.GetCurrent(), r.GetDocumentVersion(), len(r.GetBackendServers()),
+			r.GetEvacuations(), cmp.Or(strings.Join(r.GetEvacuatedZones(), ", "), "-"))
 	}
-	fmt.Fprintln(w, "\nENTRY\tZONE\tFOLLOWS\tDOCUMENT\tSINCE")
+	fmt.Fprintln(w, "\nENTRY\tZONE\tFOLLOWS\tDOCUMENT\tEVACUATIONS\tSINCE")
 	for _, r := range list {
 		for _, f := range r.GetFollowers() {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\n", f.GetName(), f.GetZone(), r.GetControl(), f.GetDocumentVersion(), milliseconds(f.GetAgeMs()))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", f.GetName(), f.GetZone(), r.GetControl(), f.GetDocumentVersion(),
+				f.GetEvacuations(), milliseconds(f.GetAgeMs()))
 		}
 	}
 	fmt.Fprintln(w, "\nSERVICE\tBACKEND SERVER\tZONE\tADDRESS\tSLOTS\tSTATE\tREPORT\tAGE")
--- a/ctl/commands/status.go
+++ b/ctl/commands/status.go
@@ -32,6 +32,9 @@
 			for _, z := range r.GetLostZones() {
 				fmt.Fprintf(w, "lost zone\t%s\n", z)
 			}
+			for _, z := range r.GetEvacuatedZones() {
+				fmt.Fprintf(w, "evacuated zone\t%s\n", z)
+			}
 			fmt.Fprintln(w, "\nCONTROL\tADDRESS\tROLE\tLOG")
 			for _, c := range r.GetControl() {
 				fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", c.GetName(), c.GetAddress(), c.GetRole(), c.GetMatch())
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -99,7 +99,7 @@
 	g.Go(func() error {
 		return metricspage.Serve(ctx, d.node.Metrics.String(), "catkinrail_entry", reg, d.ready)
 	})
-	g.Go(func() error { return d.runExpiry(ctx) })
+	g.Go(func() error { return d.runExpiry(ctx, newZoneGauges(reg)) })
 	g.Go(func() error {
 		settings.Watch(ctx, d.file.Name, d.file.Content, d.reloadSignals, d.log, d.reload)
 		return nil
@@ -134,7 +134,8 @@
 	return nil
 }
 
-func (d *tokenDaemon) runExpiry(ctx context.Context) error {
+// runExpiry expires what the engine tracks and updates the gauges of zones, until ctx ends.
+func (d *tokenDaemon) runExpiry(ctx context.Context, zones *zoneGauges) error {
 	t := time.NewTicker(expireInterval)
 	defer t.Stop()
 	for {
@@ -142,7 +143,11 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			d.router.Do(func(e *token.Engine, now int64) { e.Tick(now) })
+			d.router.Do(func(e *token.Engine, now int64) {
+				e.Tick(now)
+				zones.read(e)
+			})
+			zones.update()
 		}
 	}
 }
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -329,6 +329,24 @@
 	require.Equal(t, uint64(5), documentVersion(r))
 }
 
+// TestKeepsNewerEvacuations follows a control instance with older evacuations than those that an
+// earlier one had sent. The entry instance must not go back to them.
+func TestKeepsNewerEvacuations(t *testing.T) {
+	c, r := newClient("a", "127.0.0.1:1")
+	updates := []*message.FollowUpdate{
+		{Evacuations: &catkinrail.Evacuations{Revision: 7, Zones: []catkinrail.Zone{"a"}}},
+		{Document: newDocument(5), State: true, Current: true, Complete: true},
+		{Evacuations: &catkinrail.Evacuations{Revision: 5}},
+		{State: true, Current: true, Complete: true},
+	}
+	for i, u := range updates {
+		x := &session{client: c, addr: []string{"control-1", "control-2"}[i/2]}
+		x.apply(u)
+		r.Do(func(e *token.Engine, _ int64) { require.Equal(t, uint64(7), e.Evacuations().Revision) })
+		require.Equal(t, i > 0, c.Ready())
+	}
+}
+
 // TestSwitchesFromStaleInstance runs one control instance that is out of contact with
 // its leader and one that has the current document.
 func TestSwitchesFromStaleInstance(t *testing.T) {
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -147,6 +147,19 @@
 		c.log.Info().Uint64("revision", u.Evacuations.Revision).Interface("zones", u.Evacuations.Zones).Str("control", s.addr).
 			Msg("evacuations in force")
 	}
+	s.logBackends(changed)
+	if u.State && s.stateUpdates == 1 {
+		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
+	}
+	if version > 0 && u.Current && u.Complete && !c.synced.Swap(true) {
+		c.delayReturn(minReturnDelay + rand.N(returnDelay-minReturnDelay))
+		c.log.Info().Uint64("version", version).Int("backends", backends).Msg("ready")
+	}
+}
+
+// logBackends logs the backend servers that changed.
+func (s *session) logBackends(changed []*token.Backend) {
+	c := s.client
 	for _, b := range changed {
 		// Before readiness the whole directory is new. Control logs each backend server.
 		if !c.Ready() && !b.Draining && !b.Gone && !b.Silent() {
@@ -156,11 +169,4 @@
 			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Gone).Bool("silent", b.Silent()).
 			Str("control", s.addr).Msg("backend server changed")
 	}
-	if u.State && s.stateUpdates == 1 {
-		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
-	}
-	if version > 0 && u.Current && u.Complete && !c.synced.Swap(true) {
-		c.delayReturn(minReturnDelay + rand.N(returnDelay-minReturnDelay))
-		c.log.Info().Uint64("version", version).Int("backends", backends).Msg("ready")
-	}
 }
--- a/protocol/metricspage/page.go
+++ b/protocol/metricspage/page.go
@@ -55,7 +55,11 @@
 func writeMetrics(w io.Writer, prefix string, reg metrics.Registry) {
 	var lines []string
 	reg.Each(func(name string, v any) {
-		full := prefix + "_" + strings.ReplaceAll(name, "-", "_")
+		base, labels, found := strings.Cut(name, "{")
+		full := prefix + "_" + strings.ReplaceAll(base, "-", "_")
+		if found {
+			full += "{" + labels
+		}
 		switch m := v.(type) {
 		case metrics.Counter:
 			lines = append(lines, fmt.Sprintf("%s %d", full, m.Count()))
@@ -71,6 +75,11 @@
 	}
 }
 
+// Labeled returns the name of a counter or gauge with a label.
+func Labeled(name, label, value string) string {
+	return fmt.Sprintf("%s{%s=%q}", name, label, value)
+}
+
 // quantiles lists the quantiles in a histogram's lines.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
--- a/protocol/metricspage/page_test.go
+++ b/protocol/metricspage/page_test.go
@@ -26,3 +26,13 @@
 		require.Contains(t, w.Body.String(), line+"\n")
 	}
 }
+
+// TestLabels checks that the value of a label isn't changed as the name is.
+func TestLabels(t *testing.T) {
+	reg := metrics.NewRegistry()
+	metrics.GetOrRegisterGauge(metricspage.Labeled("flows-open", "zone", "carreras-1"), reg).Update(3)
+	w := httptest.NewRecorder()
+	metricspage.Handler("entry", reg, func() error { return nil }).
+		ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
+	require.Contains(t, w.Body.String(), "entry_flows_open{zone=\"carreras-1\"} 3\n")
+}
--- a/routing.go
+++ b/routing.go
@@ -97,6 +97,9 @@
 	// Silent is set if the backend server was ejected because its announcements
 	// stopped.
 	Silent bool `cbor:"10,keyasint,omitempty"`
+	// Evacuated is set while the backend server drains only because its availability zone
+	// is evacuated.
+	Evacuated bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Instance is one incarnation of an entry instance.
--- a/state/cluster/state.go
+++ b/state/cluster/state.go
@@ -218,6 +218,22 @@
 	return found
 }
 
+// HasZone reports whether a registered entry instance, or a backend server that has not ended, is
+// in the zone.
+func (s *State) HasZone(zone catkinrail.Zone) bool {
+	for _, in := range s.Instances {
+		if in.Zone == zone {
+			return true
+		}
+	}
+	for _, b := range s.Backends {
+		if b.Zone == zone && b.State != catkinrail.BackendGone {
+			return true
+		}
+	}
+	return false
+}
+
 // FindAnswer returns the answer to an operator's request, or nil.
 func (s *State) FindAnswer(request string) *Answer {
 	for i := len(s.Answers) - 1; i >= 0; i-- {
