warmup: lend flows on cold backend servers from a budget

Cause: nothing limits the opening packets that cold backend servers get from all entry instances together.

--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -194,6 +194,17 @@
 	// Wants is the number of flows, by service, that the instance would place on cold
 	// backend servers before its next report.
 	Wants map[string]int `cbor:"7,keyasint,omitempty"`
+	// Returned holds the loans that ended unused.
+	Returned []LoanReturn `cbor:"8,keyasint,omitempty"`
+}
+
+// LoanReturn is what was left of a loan when it ended.
+type LoanReturn struct {
+	// Sequence is that of the report whose reply carried the loan.
+	Sequence  uint64           `cbor:"1,keyasint"`
+	Token     catkinrail.Token `cbor:"2,keyasint"`
+	StartedAt int64            `cbor:"3,keyasint"`
+	Flows     int              `cbor:"4,keyasint"`
 }
 
 // ServerLoad is the load of one incarnation of a backend server.
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -12,6 +12,7 @@
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/egress"
 	"catkinrail.example/catkinrail/coordination/place"
+	"catkinrail.example/catkinrail/coordination/warmup"
 )
 
 // Action is what to do with a packet.
@@ -68,6 +69,9 @@
 	// ReasonLink is a new flow that was shed because its packets would wait too long for
 	// this instance's link.
 	ReasonLink
+	// ReasonCold is an opening packet to a service of which only cold backend servers are
+	// left, without a loan for one of them.
+	ReasonCold
 	numReasons
 )
 
@@ -75,7 +79,7 @@
 func (r Reason) String() string {
 	names := [numReasons]string{
 		"placed", "copy", "next", "token", "no-route", "stale", "no-backend",
-		"unknown-token", "gone", "no-document", "overload", "link",
+		"unknown-token", "gone", "no-document", "overload", "link", "cold",
 	}
 	if r >= numReasons {
 		return "unknown"
@@ -164,6 +168,10 @@
 	silentSince int64
 	// evacuated is set while its zone is evacuated.
 	evacuated bool
+	// seenAt is the time at which this instance first heard of the incarnation;
+	// seenInTraffic is set if it had placed flows by then.
+	seenAt        int64
+	seenInTraffic bool
 }
 
 // Token returns the token that packets to the backend server carry.
@@ -194,6 +202,8 @@
 	// caller's packets.
 	sent, acked uint32
 	lastSeen    int64
+	// priority is that of its route.
+	priority int
 }
 
 // Observer receives the times that the engine measures. It must not block.
@@ -229,6 +239,14 @@
 	handshakes []handshake
 	// meanHandshake is the moving average of the handshake time, zero if unknown.
 	meanHandshake time.Duration
+	// cold holds the services whose requests to cold backend servers are limited, nil if
+	// there are none.
+	cold  map[string]*coldService
+	loans *warmup.Allowance
+	// placed is set once a flow was placed; oldestStart is the earliest start of a known
+	// incarnation, in Unix milliseconds.
+	placed      bool
+	oldestStart int64
 }
 
 // handshake is an attempt to open a flow.
@@ -243,7 +261,7 @@
 		zone: zone, rng: rand.New(rand.NewPCG(seed, uint64(len(zone)))),
 		routes:   map[netip.AddrPort]*catkinrail.Route{},
 		backends: map[string]*Backend{}, tokens: map[catkinrail.Token]*Backend{},
-		services: map[string][]*Backend{}, flows: map[catkinrail.FlowKey]*flow{},
+		services: map[string][]*Backend{}, flows: map[catkinrail.FlowKey]*flow{}, loans: warmup.NewAllowance(),
 	}
 }
 
@@ -290,11 +308,17 @@
 	if e.linkFull(r) {
 		return e.shed(p, ReasonLink)
 	}
-	b := e.place(r.Pick(e.rng.Uint64()), nil, now)
-	if b == nil {
+	service := r.Pick(e.rng.Uint64())
+	e.countOpening(service, r.Priority)
+	b, cold := e.place(service, nil, r.Priority, now)
+	if b == nil && !cold {
 		return e.refuse(p, ReasonNoBackend, now)
 	}
-	e.track(p, b, now)
+	if b == nil || !e.takeLoan(b, now) {
+		return e.shed(p, ReasonCold)
+	}
+	e.placed = true
+	e.track(p, b, r.Priority, now)
 	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b, Class: egress.ClassOpening}
 }
 
@@ -352,13 +376,13 @@
 func (e *Engine) openCopy(p *catkinrail.TokenPacket, f *flow, now int64) Verdict {
 	f.lastSeen = now
 	if f.open || now-f.openedAt < int64(retransmitGap) {
-		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
+		return e.repeat(f, now)
 	}
 	e.recordMiss(f, now)
-	next := e.place(f.backend.Service, f.backend, now)
-	if next == nil || next == f.previous {
+	next, _ := e.place(f.backend.Service, f.backend, f.priority, now)
+	if next == nil || next == f.previous || !e.takeLoan(next, now) {
 		f.openedAt = now
-		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
+		return e.repeat(f, now)
 	}
 	f.previous = f.backend
 	e.detach(f)
@@ -369,24 +393,36 @@
 	return Verdict{Action: Forward, Reason: ReasonNext, Backend: next, Class: egress.ClassOpening}
 }
 
+// repeat forwards a copy of an opening packet to the backend server that it went to
+// before. A cold one counts it like a new flow, so that it needs a loan of its own.
+func (e *Engine) repeat(f *flow, now int64) Verdict {
+	if !e.takeLoan(f.backend, now) {
+		return Verdict{Action: Drop, Reason: ReasonCold}
+	}
+	return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
+}
+
 // place returns the backend server for a new flow, other than the one to avoid,
-// or nil if there is none.
-func (e *Engine) place(service string, avoid *Backend, now int64) *Backend {
+// or nil if there is none. If the backend server is cold, there is a loan for it, which the
+// caller must use. cold is set if there is none because all that take new flows are cold
+// and without a loan.
+func (e *Engine) place(service string, avoid *Backend, priority int, now int64) (b *Backend, cold bool) {
 	list := e.services[service]
 	if len(list) == 0 {
-		return nil
+		return nil, false
 	}
+	filter := e.newColdFilter(service, list, avoid, priority, now)
 	e.candidates = e.candidates[:0]
 	for _, b := range list {
 		e.candidates = append(e.candidates, place.Candidate{
 			Slots: b.Slots, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.latency,
 			Warmup: time.Duration(max(0, b.warmUntil-now)), Misses: b.misses, SinceMiss: time.Duration(now - b.lastMiss),
-			Silent: b.silent, Draining: b.Draining || b == avoid || b.evacuated, Local: b.Zone == e.zone,
+			Silent: b.silent, Draining: b.Draining || b == avoid || b.evacuated || filter.excludes(e, b, now), Local: b.Zone == e.zone,
 		})
 	}
 	i := place.Choose(e.candidates, e.rng.Uint64())
 	if i < 0 {
-		return nil
+		return nil, filter.excluded
 	}
-	return list[i]
+	return list[i], false
 }
--- a/coordination/token/observe.go
+++ b/coordination/token/observe.go
@@ -8,14 +8,14 @@
 )
 
 // track starts to track a flow that was placed on a backend server.
-func (e *Engine) track(p *catkinrail.TokenPacket, b *Backend, now int64) {
+func (e *Engine) track(p *catkinrail.TokenPacket, b *Backend, priority int, now int64) {
 	if old := e.flows[p.Flow]; old != nil {
 		e.untrack(p.Flow, old)
 	}
 	if len(e.flows) >= maxFlows {
 		return
 	}
-	e.flows[p.Flow] = &flow{backend: b, seq: p.Seq, openedAt: now, sent: p.Seq, lastSeen: now}
+	e.flows[p.Flow] = &flow{backend: b, seq: p.Seq, openedAt: now, sent: p.Seq, lastSeen: now, priority: priority}
 	b.flows++
 	b.pendingHandshakes++
 	e.handshakes = append(e.handshakes, handshake{p.Flow, now})
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -26,6 +26,7 @@
 	for i := range d.Routes {
 		e.routes[d.Routes[i].Listen] = &d.Routes[i]
 	}
+	e.setWarmupLimits()
 	return true
 }
 
@@ -75,6 +76,11 @@
 // outdated report, only Silent counts.
 func (e *Engine) Update(list []FollowedBackend, now int64) []*Backend {
 	var changed []*Backend
+	for i := range list {
+		if at := list[i].StartedAt; at > 0 && (e.oldestStart == 0 || at < e.oldestStart) {
+			e.oldestStart = at
+		}
+	}
 	for i := range list {
 		in := &list[i]
 		b := e.backends[in.Name]
@@ -83,7 +89,7 @@
 		}
 		if b == nil || b.StartedAt != in.StartedAt {
 			// The flows of an earlier incarnation have ended with it.
-			b = &Backend{}
+			b = &Backend{seenAt: now, seenInTraffic: e.placed}
 			e.backends[in.Name] = b
 		}
 		if b.apply(in, now) {
