warmup: account for ended loans, replay the alternatives under faults

Cause: loans that end unused took up the budget for 1.2 s, and the replays hadn't all faults.

Change: a report says what was left over of a loan and when it was last used; the lender charges a used loan from that time on. A request gets a third of what is available.

--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -194,17 +194,20 @@
 	// Wants is the number of flows, by service, that the instance would place on cold
 	// backend servers before its next report.
 	Wants map[string]int `cbor:"7,keyasint,omitempty"`
-	// Returned holds the loans that ended unused.
+	// Returned holds the loans that ended since the last report.
 	Returned []LoanReturn `cbor:"8,keyasint,omitempty"`
 }
 
-// LoanReturn is what was left of a loan when it ended.
+// LoanReturn is a loan that has ended.
 type LoanReturn struct {
 	// Sequence is that of the report whose reply carried the loan.
 	Sequence  uint64           `cbor:"1,keyasint"`
 	Token     catkinrail.Token `cbor:"2,keyasint"`
 	StartedAt int64            `cbor:"3,keyasint"`
-	Flows     int              `cbor:"4,keyasint"`
+	// Flows is the number of flows that were left over.
+	Flows int `cbor:"4,keyasint,omitempty"`
+	// Idle is the time since the last use of the loan.
+	Idle time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // ServerLoad is the load of one incarnation of a backend server.
--- a/coordination/warmup/allowance.go
+++ b/coordination/warmup/allowance.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/message"
@@ -11,11 +12,19 @@
 // backend server. Loans of further replies are lost.
 const maxBatches = 4
 
-// batch holds what is left of a loan.
+// batch holds what is left of a loan. Its sequence is zero if there is none.
 type batch struct {
 	sequence uint64
 	flows    int
 	until    int64
+	// usedAt is the time of its last use, or that of its arrival.
+	usedAt int64
+}
+
+// ended is a loan that has ended.
+type ended struct {
+	batch
+	Key
 }
 
 // held holds the loans for a backend server.
@@ -36,7 +45,7 @@
 	clock   clockCheck
 	// notBefore is the time before which requests must not have been sent.
 	notBefore int64
-	returned  []message.LoanReturn
+	returned  []ended
 	stats     AllowanceStats
 }
 
@@ -64,7 +73,7 @@
 			continue
 		}
 		a.stats.Received += uint64(l.Flows)
-		in := batch{sequence, l.Flows, until}
+		in := batch{sequence, l.Flows, until, now}
 		key := Key{l.Token, l.StartedAt}
 		if sentAt < a.notBefore || now >= until || sentAt > now {
 			a.end(key, &in)
@@ -75,7 +84,7 @@
 			h = &held{}
 			a.loans[key] = h
 		}
-		if k := slices.IndexFunc(h[:], func(b batch) bool { return b.flows == 0 }); k >= 0 {
+		if k := slices.IndexFunc(h[:], func(b batch) bool { return b.sequence == 0 }); k >= 0 {
 			h[k] = in
 			continue
 		}
@@ -100,6 +109,7 @@
 		return false
 	}
 	h[best].flows--
+	h[best].usedAt = now
 	a.stats.Used++
 	return true
 }
@@ -136,12 +146,18 @@
 	}
 }
 
-// Return returns the loans that ended unused since the last call, to be reported to
-// their lender. The list is valid until the next call.
+// Return returns the loans that ended since the last call, to be reported to their lender
+// with the next request.
 func (a *Allowance) Return(now int64) []message.LoanReturn {
 	a.expire(now)
-	list := a.returned
-	a.returned = nil
+	var list []message.LoanReturn
+	for i := range a.returned {
+		r := &a.returned[i]
+		list = append(list, message.LoanReturn{
+			Sequence: r.sequence, Token: r.Token, StartedAt: r.StartedAt, Flows: r.flows, Idle: time.Duration(max(0, now-r.usedAt)),
+		})
+	}
+	a.returned = a.returned[:0]
 	return list
 }
 
@@ -150,10 +166,10 @@
 	for key, h := range a.loans {
 		left := false
 		for i := range h {
-			if b := &h[i]; b.flows > 0 && now >= b.until {
+			if b := &h[i]; b.flows == 0 || now >= b.until {
 				a.end(key, b)
 			}
-			left = left || h[i].flows > 0
+			left = left || h[i].sequence != 0
 		}
 		if !left {
 			delete(a.loans, key)
@@ -164,14 +180,14 @@
 // maxReturned bounds the list of ended loans if nobody asks for it.
 const maxReturned = 1024
 
-// end ends a loan.
+// end ends a loan, if there is one.
 func (a *Allowance) end(key Key, b *batch) {
-	if b.flows == 0 {
+	if b.sequence == 0 {
 		return
 	}
 	a.stats.Expired += uint64(b.flows)
 	if len(a.returned) < maxReturned {
-		a.returned = append(a.returned, message.LoanReturn{Sequence: b.sequence, Token: key.Token, StartedAt: key.StartedAt, Flows: b.flows})
+		a.returned = append(a.returned, ended{*b, key})
 	}
-	b.flows = 0
+	*b = batch{}
 }
--- a/coordination/warmup/lender.go
+++ b/coordination/warmup/lender.go
@@ -27,9 +27,6 @@
 	// paceBurst is the time for which unused flows of the rate are saved up. It exceeds
 	// the interval of the requests, so that a single entry instance can use the rate.
 	paceBurst = 300 * time.Millisecond
-	// askedRetention is the time after which a request no longer counts when loans are
-	// shared among the instances that asked.
-	askedRetention = 500 * time.Millisecond
 	// processRetention is the time after which the sequence of a silent process is
 	// forgotten. A request that is repeated later gets loans that are counted but can no
 	// longer be used.
@@ -61,7 +58,8 @@
 type server struct {
 	Server
 	budget int
-	// loans are those of the last Window, oldest first, and sum their flows.
+	// loans are those whose opening packets may still arrive, or have arrived within the
+	// last second, and sum their flows.
 	loans []record
 	sum   int
 	// paidUntil is the time up to which the rate has been lent; gap is the time of one
@@ -90,7 +88,6 @@
 type process struct {
 	sequence uint64
 	at       int64
-	wants    map[string]int
 }
 
 // Stats counts flows since the start.
@@ -170,14 +167,14 @@
 	return cmp.Or(inZone, first)
 }
 
-// SetServers replaces the cold backend servers. What was lent on others still counts if
-// they come back.
-func (l *Lender) SetServers(list []Server, now int64) {
+// SetServers replaces the cold backend servers, and the zones that may have some. What was
+// lent on others still counts if they come back.
+func (l *Lender) SetServers(list []Server, zones []catkinrail.Zone, now int64) {
 	for _, s := range l.servers {
 		s.listed = false
 	}
 	clear(l.groups)
-	l.zones = l.zones[:0]
+	l.zones = append(l.zones[:0], zones...)
 	for i := range list {
 		in := &list[i]
 		s := l.servers[in.Key]
@@ -188,7 +185,7 @@
 		s.Server, s.listed = *in, true
 		s.budget = l.tolerance.Budget(in.Rate)
 		// The mean is kept at the rate; what is tolerated beyond it is for single seconds.
-		s.gap = int64(float64(time.Second) / min(in.Rate, float64(max(1, s.budget))/Window.Seconds()))
+		s.gap = int64(float64(time.Second) / in.Rate)
 		g := group{in.Service, in.Zone}
 		l.groups[g] = append(l.groups[g], s)
 		if !slices.Contains(l.zones, in.Zone) {
@@ -206,19 +203,20 @@
 			delete(l.processes, id)
 		}
 	}
+	l.zones = slices.Compact(l.zones)
 	for _, zone := range l.zones {
 		l.lends(zone, now)
 	}
 }
 
-// Lends reports whether the instance lends flows on some of the cold backend servers.
-func (l *Lender) Lends(now int64) bool {
+// Zones returns the zones on whose backend servers the instance lends flows.
+func (l *Lender) Zones(now int64) (list []catkinrail.Zone) {
 	for _, zone := range l.zones {
 		if l.lends(zone, now) {
-			return true
+			list = append(list, zone)
 		}
 	}
-	return false
+	return list
 }
 
 // lends reports whether the instance lends flows on the zone's backend servers.
@@ -249,8 +247,8 @@
 	if r.Sequence <= p.sequence {
 		return nil
 	}
-	l.takeBack(r)
-	p.sequence, p.at, p.wants = r.Sequence, now, r.Wants
+	l.takeBack(r, now)
+	p.sequence, p.at = r.Sequence, now
 	var loans []message.Loan
 	for _, service := range slices.Sorted(maps.Keys(r.Wants)) {
 		want := min(r.Wants[service], maxBudget)
@@ -262,7 +260,7 @@
 			continue
 		}
 		l.stats.Wanted += uint64(want)
-		loans = l.lend(loans, servers, l.share(service, want, available, now), r, now)
+		loans = l.lend(loans, servers, share(want, available), r, now)
 	}
 	return loans
 }
@@ -298,19 +296,14 @@
 	return list, sum
 }
 
-// share returns the part of the available flows that a request gets, in proportion to
-// what all instances asked for lately.
-func (l *Lender) share(service string, want, available int, now int64) int {
-	total := 0
-	for _, p := range l.processes {
-		if now-p.at <= int64(askedRetention) {
-			total += p.wants[service]
-		}
-	}
-	if total <= available {
-		return min(want, available)
-	}
-	return min(want, (want*available+total-1)/total)
+// shareDivisor is the part of the available flows that one request gets: with all of them,
+// an instance that asks just after another would get none; with fewer, more of the rate
+// would wait for the next request.
+const shareDivisor = 3
+
+// share returns the flows that a request gets of those that are available.
+func share(want, available int) int {
+	return min(want, (available+shareDivisor-1)/shareDivisor)
 }
 
 // lend lends n flows, spread over the backend servers.
@@ -337,8 +330,10 @@
 	return loans
 }
 
-// takeBack removes the loans that came back unused from the records.
-func (l *Lender) takeBack(r *message.LoadReport) {
+// takeBack applies the ends of loans: what was left over is free again, and the rest was
+// used by the time of the last use. The instance has sent its report since then, so that
+// the time of the last use isn't later than the report's arrival less the idle time.
+func (l *Lender) takeBack(r *message.LoadReport, now int64) {
 	for i := range r.Returned {
 		ret := &r.Returned[i]
 		s := l.servers[Key{ret.Token, ret.StartedAt}]
@@ -352,6 +347,7 @@
 			}
 			n := min(rec.flows, max(0, ret.Flows))
 			rec.flows -= n
+			rec.until = min(rec.until, now-int64(max(0, ret.Idle))+int64(transit+maxDivergence))
 			s.sum -= n
 			s.paidUntil -= int64(n) * s.gap
 			l.stats.Returned += uint64(n)
@@ -362,14 +358,13 @@
 // expire removes the loans whose opening packets can't arrive within the same second as
 // those of a loan given now.
 func (s *server) expire(now int64) {
-	n := 0
-	for n < len(s.loans) && now-s.loans[n].until > int64(time.Second) {
-		s.sum -= s.loans[n].flows
-		n++
-	}
-	if n > 0 {
-		s.loans = append(s.loans[:0], s.loans[n:]...)
-	}
+	s.loans = slices.DeleteFunc(s.loans, func(r record) bool {
+		if r.flows > 0 && now-r.until <= int64(time.Second) {
+			return false
+		}
+		s.sum -= r.flows
+		return true
+	})
 }
 
 // available returns the number of flows that can be lent.
--- a/coordination/warmup/replay/loans.go
+++ b/coordination/warmup/replay/loans.go
@@ -16,6 +16,8 @@
 	// numControls is the number of control instances of the zone.
 	numControls = 2
 	service     = "logbook"
+	// maxGreed is the greatest number of flows that a greedy instance asks for.
+	maxGreed = 100
 	// viewLag is the greatest age of the voters that a control instance in contact sees.
 	viewLag = int64(1500 * time.Millisecond)
 )
@@ -156,7 +158,7 @@
 			c.view = p.viewAt(w, i)
 		}
 		c.lender.SetView(c.view, c.synced, w.Now, w.Now)
-		c.lender.SetServers(servers, w.Now)
+		c.lender.SetServers(servers, []catkinrail.Zone{"z"}, w.Now)
 	}
 }
 
@@ -191,9 +193,9 @@
 	delete(e.sentAt, e.sequence-8)
 	r := &message.LoadReport{Zone: "z", Process: w.entries[i].process<<32 + uint64(i) + 1, Sequence: e.sequence, Returned: e.allowance.Return(now)}
 	if n := int(e.rate + 0.999); n > 0 || w.Greedy {
-		r.Wants = map[string]int{service: max(n, 1+w.rng.IntN(4))}
-		if !w.Greedy {
-			r.Wants[service] = n
+		r.Wants = map[string]int{service: n}
+		if w.Greedy {
+			r.Wants[service] = 1 + w.rng.IntN(maxGreed)
 		}
 	}
 	p.bytes += size(map[int]any{7: r.Wants, 8: r.Returned})
@@ -210,6 +212,11 @@
 	for _, f := range w.Active(DelayMessages) {
 		d.at += w.rng.Int64N(int64(f.Strength) + 1)
 	}
+	for _, f := range w.Active(HoldReplies) {
+		if d.reply != nil && d.instance%2 == f.Target%2 {
+			d.at = max(d.at, int64(f.At+f.For))
+		}
+	}
 	if len(w.Active(LoseMessages)) > 0 && w.rng.IntN(2) == 0 {
 		return
 	}
--- a/coordination/warmup/replay/simple.go
+++ b/coordination/warmup/replay/simple.go
@@ -11,11 +11,11 @@
 // window counts opening packets within a sliding second.
 type window []int64
 
-// take counts one opening packet at now if there are fewer than limit in the second
-// before.
+// take counts one opening packet at now if there are fewer than limit whose arrivals can
+// be within the same second.
 func (w *window) take(now int64, limit int) bool {
 	list := *w
-	for len(list) > 0 && now-list[0] >= int64(time.Second) {
+	for len(list) > 0 && now-list[0] >= int64(time.Second)+maxTransit {
 		list = list[1:]
 	}
 	ok := len(list) < limit
@@ -135,7 +135,7 @@
 	p := &TimeSlices{slices: newState[slice](w)}
 	p.length = int64(max(minSlice.Seconds(), 1/w.Rate) * float64(time.Second))
 	// A second touches one slice more than fits into it.
-	touched := math.Floor(float64(time.Second)/float64(p.length)) + 1
+	touched := math.Ceil(float64(int64(time.Second)+maxTransit)/float64(p.length)) + 1
 	p.flows = max(1, int(math.Floor(float64(w.Tolerance.Budget(w.Rate))/touched)))
 	return p
 }
