control: lend flows on cold backend servers

Settings warmup-overage (1) and warmup-slack (0); the platform's are taken over. The exchange that carries loans isn't here yet.

--- a/control/cmd/catkinrail-control/platform.go
+++ b/control/cmd/catkinrail-control/platform.go
@@ -35,7 +35,7 @@
 	cfg := &Settings{
 		Name: n.Name, Zone: n.Zone, Address: n.Internal.String(), Listen: n.InternalListen.String(), Data: n.Data, Lease: defaultLease,
 		Public: n.Control.String(), EvictAfter: evictAfter, SilentAfter: missedReports*n.ReportInterval + reportTimeout,
-		Metrics: n.Metrics.String(), TLS: rpc.TLSSettings{TrustedNetwork: true},
+		WarmupOverage: n.WarmupOverage, WarmupSlack: n.WarmupSlack, Metrics: n.Metrics.String(), TLS: rpc.TLSSettings{TrustedNetwork: true},
 		Log: logs.Settings{Level: "info"}, NoLeases: true, firstStart: n.FirstStart,
 	}
 	for _, seed := range n.Seeds {
--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -20,6 +20,9 @@
 	// defaultSilentAfter allows for two lost reports.
 	defaultSilentAfter = 4 * time.Second
 	maxPeers           = 7
+	// maxWarmupOverage and maxWarmupSlack are above any sensible tolerance.
+	maxWarmupOverage = 100
+	maxWarmupSlack   = 10_000
 )
 
 // Settings are the settings of a control instance.
@@ -48,6 +51,10 @@
 	// NoLeases is set if all entry instances route by token and need no leases. The
 	// control instances then elect a leader sooner after all of them have stopped.
 	NoLeases bool `yaml:"no-leases"`
+	// WarmupOverage and WarmupSlack say how far the opening packets to a cold backend
+	// server may exceed its limit: limit x overage + slack are tolerated in any second.
+	WarmupOverage float64 `yaml:"warmup-overage"`
+	WarmupSlack   float64 `yaml:"warmup-slack"`
 	// Metrics is the address of the metrics and health pages; empty for none.
 	Metrics string          `yaml:"metrics"`
 	TLS     rpc.TLSSettings `yaml:"tls"`
@@ -124,6 +131,15 @@
 			add(f.field, "must not be negative")
 		}
 	}
+	if s.WarmupOverage == 0 {
+		s.WarmupOverage = 1
+	}
+	if !(s.WarmupOverage >= 1 && s.WarmupOverage <= maxWarmupOverage) {
+		add("warmup-overage", fmt.Sprintf("must be from 1 to %d", maxWarmupOverage))
+	}
+	if !(s.WarmupSlack >= 0 && s.WarmupSlack <= maxWarmupSlack) {
+		add("warmup-slack", fmt.Sprintf("must be from 0 to %d", maxWarmupSlack))
+	}
 	errs = append(errs, s.validatePeers()...)
 	errs = append(errs, settings.Prefix("tls", s.TLS.Validate())...)
 	return append(errs, settings.Prefix("log", s.Log.Validate())...)
--- a/coordination/token/warmup.go
+++ b/coordination/token/warmup.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/egress"
 	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/warmup"
 )
@@ -138,7 +139,7 @@
 	if f.service == nil || !e.isCold(f.service, b, now) {
 		return false
 	}
-	if f.reserved || e.loans.Left(b.token, b.StartedAt, now) == 0 {
+	if f.reserved || e.linkWait[egress.ClassOpening] > warmup.MaxTransit || e.loans.Left(b.token, b.StartedAt, now) == 0 {
 		f.excluded = true
 		return true
 	}
@@ -152,7 +153,7 @@
 	if s == nil || !e.isCold(s, b, now) {
 		return true
 	}
-	return e.loans.Take(b.token, b.StartedAt, now)
+	return e.linkWait[egress.ClassOpening] <= warmup.MaxTransit && e.loans.Take(b.token, b.StartedAt, now)
 }
 
 // Wants returns the number of flows, by service, that the instance would place on cold
--- a/coordination/warmup/lender.go
+++ b/coordination/warmup/lender.go
@@ -136,11 +136,13 @@
 // more often than once in contactTimeout: a longer gap counts as a loss of contact, and so
 // does a divergence of the wall clock from the steady clock.
 func (l *Lender) SetView(voters []Voter, synced, now, wall int64) {
-	if l.clock.diverged(now, wall) || synced-l.synced >= int64(contactTimeout) || now-synced >= int64(contactTimeout) {
+	before := l.synced
+	// A new leader has no such time until it has committed something.
+	l.synced = max(l.synced, synced)
+	if l.clock.diverged(now, wall) || l.synced-before >= int64(contactTimeout) || now-l.synced >= int64(contactTimeout) {
 		// Another instance may have been the lender in between.
 		clear(l.since)
 	}
-	l.synced = max(l.synced, synced)
 	if slices.Equal(voters, l.voters) {
 		return
 	}
@@ -203,7 +205,6 @@
 			delete(l.processes, id)
 		}
 	}
-	l.zones = slices.Compact(l.zones)
 	for _, zone := range l.zones {
 		l.lends(zone, now)
 	}
@@ -347,7 +348,7 @@
 			}
 			n := min(rec.flows, max(0, ret.Flows))
 			rec.flows -= n
-			rec.until = min(rec.until, now-int64(max(0, ret.Idle))+int64(transit+maxDivergence))
+			rec.until = min(rec.until, now-int64(max(0, ret.Idle))+int64(MaxTransit+maxDivergence))
 			s.sum -= n
 			s.paidUntil -= int64(n) * s.gap
 			l.stats.Returned += uint64(n)
--- a/coordination/warmup/warmup.go
+++ b/coordination/warmup/warmup.go
@@ -17,16 +17,17 @@
 	// use the loans in the reply. It is below the interval of the requests, so that loans
 	// that were left over have expired, and can be returned, when the next one is sent.
 	Validity = 200 * time.Millisecond
-	// transit is the variation of the time from the decision about an opening packet to
-	// its arrival at the backend server.
-	transit = 20 * time.Millisecond
+	// MaxTransit is the variation of the time from the decision about an opening packet to
+	// its arrival at the backend server. Where packets wait longer for the link, no loans
+	// may be used.
+	MaxTransit = 20 * time.Millisecond
 	// maxDivergence is the divergence of an entry instance's steady clock from its wall
 	// clock up to which its loans stay valid.
 	maxDivergence = 10 * time.Millisecond
 	// Window is the time within which the loans of a backend server add up to no more
 	// than its budget. All opening packets that arrive within one second were lent
 	// within a time of this length.
-	Window = time.Second + Validity + transit + maxDivergence
+	Window = time.Second + Validity + MaxTransit + maxDivergence
 )
 
 // Tolerance says how far the opening packets to a cold backend server may exceed its rate:
--- a/transport/clock/clock.go
+++ b/transport/clock/clock.go
@@ -37,3 +37,12 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Wall is the system's wall clock, which may jump. Decisions compare it with a System clock
+// to find out whether the machine was suspended.
+type Wall struct{}
+
+// Now implements catkinrail.Clock.
+func (Wall) Now() time.Time {
+	return time.Now().Round(0)
+}
