entry: discard loans if the clocks diverge, follow the lender

Cause: a suspended machine's steady clock may stand still, so that its loans would last too long; and entry instances followed the first control instance of their zone by node ID, while the first by name lends.

Change: the packet router compares the steady clock with the wall clock before each use of the engine. The entry instances follow the first control instance of their zone by name.

--- a/emulator/bench/token.go
+++ b/emulator/bench/token.go
@@ -76,7 +76,7 @@
 // forwardByToken forwards as catkinrail-entry does on the platform.
 func forwardByToken(ctx context.Context, in *udp.Conn, to netip.AddrPort, handled *atomic.Int64) error {
 	clk := clock.New()
-	r := packet.NewRouter(newTokenEngine(clk.Nanos(), to), clk)
+	r := packet.NewRouter(newTokenEngine(clk.Nanos(), to), clk, clk)
 	w := packet.New(r, in, platform.PacketCodec{}, clk, logs.Discard(), metrics.NewRegistry())
 	return readLoop(ctx, in, handled, w.Batch)
 }
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -82,7 +82,7 @@
 		return err
 	}
 	reg := metrics.NewRegistry()
-	d.router = packet.NewRouter(token.New(d.node.Zone, uint64(d.clock.Nanos())), d.clock)
+	d.router = packet.NewRouter(token.New(d.node.Zone, uint64(d.clock.Nanos())), d.clock, clock.Wall{})
 	d.client = follow.New(d.node.Name, d.node.Zone, seedAddrs(d.node), creds, d.clock, d.router, d.log)
 	conn, err := udp.Listen(ctx, d.node.Packets)
 	if err != nil {
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -248,15 +248,17 @@
 	return addr != "" && addr == c.ownZoneAddr()
 }
 
-// ownZoneAddr returns the address of a control instance in this zone, or an empty
-// string. The caller holds mu.
+// ownZoneAddr returns the address of the first control instance in this zone by name, or an
+// empty string. That is the one that lends flows on the zone's cold backend servers. The
+// caller holds mu.
 func (c *Client) ownZoneAddr() string {
+	name, addr := "", ""
 	for _, p := range c.peers {
-		if p.Zone == string(c.zone) {
-			return p.Addr
+		if p.Zone == string(c.zone) && (addr == "" || p.Name < name) {
+			name, addr = p.Name, p.Addr
 		}
 	}
-	return ""
+	return addr
 }
 
 func (c *Client) setPeers(peers []quorum.Peer) {
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -26,7 +26,7 @@
 
 func newClient(zone catkinrail.Zone, seeds ...string) (*Client, *packet.Router) {
 	clk := clock.New()
-	r := packet.NewRouter(token.New(zone, 1), clk)
+	r := packet.NewRouter(token.New(zone, 1), clk, clk)
 	return New("entry-1", zone, seeds, nil, clk, r, logs.Discard()), r
 }
 
--- a/entry/packet/worker.go
+++ b/entry/packet/worker.go
@@ -35,18 +35,22 @@
 	mu     sync.Mutex
 	engine *token.Engine
 	clock  fabric.NanoClock
+	wall   catkinrail.Clock
 }
 
-// NewRouter returns a router for the engine.
-func NewRouter(e *token.Engine, clock fabric.NanoClock) *Router {
-	return &Router{engine: e, clock: clock}
+// NewRouter returns a router for the engine. The wall clock shows whether the machine was
+// suspended while the steady clock stood still.
+func NewRouter(e *token.Engine, clock fabric.NanoClock, wall catkinrail.Clock) *Router {
+	return &Router{engine: e, clock: clock, wall: wall}
 }
 
 // Do calls f with the engine and the time in nanoseconds, with the lock held.
 func (r *Router) Do(f func(e *token.Engine, now int64)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	f(r.engine, r.clock.Nanos())
+	now := r.clock.Nanos()
+	r.engine.CheckClock(now, r.wall.Now().UnixNano())
+	f(r.engine, now)
 }
 
 // minReadTimeout is the shortest time for which a read waits for datagrams.
--- a/entry/packet/worker_test.go
+++ b/entry/packet/worker_test.go
@@ -82,7 +82,7 @@
 	s := &fakeSocket{}
 	reg := metrics.NewRegistry()
 	log := logs.New(lines, logs.Settings{Level: "info"}, "entry", "entry-1")
-	return New(NewRouter(e, clk), s, platform.PacketCodec{CallerPort: 8172}, clk, log, reg), s, reg
+	return New(NewRouter(e, clk, clk), s, platform.PacketCodec{CallerPort: 8172}, clk, log, reg), s, reg
 }
 
 func TestWorker(t *testing.T) {
