--- a/coordination/warmup/replay/replay_test.go
+++ b/coordination/warmup/replay/replay_test.go
@@ -108,7 +108,8 @@
 }
 
 // BenchmarkFigures plays the replays of docs/design/warmup.md: each policy and fault at each
-// number of entry instances, with copies of every tenth opening packet.
+// number of entry instances, with copies of every tenth
+// opening packet and five requests on each flow. Burst is the calm case.
 func BenchmarkFigures(b *testing.B) {
 	kinds := []replay.Kind{
 		replay.Burst, replay.SplitView, replay.SkewClock, replay.RestartEntry, replay.RestartControl, replay.CutControl,
@@ -120,6 +121,7 @@
 				b.Run(fmt.Sprintf("%d/%s/%s", n, p.name, kind), func(b *testing.B) {
 					cfg := calm(n, warmup.Tolerance{Overage: 1.5, Slack: 5})
 					cfg.CopyShare = 0.1
+					cfg.Requests, cfg.Pause = 5, 2*time.Second
 					for at := 6 * time.Second; at < 14*time.Second; at += 2 * time.Second {
 						cfg.Faults = append(cfg.Faults, replay.Fault{Kind: kind, At: at, For: time.Second, Target: len(cfg.Faults), Strength: time.Second})
 					}
@@ -131,6 +133,7 @@
 					b.ReportMetric(float64(r.Worst), "worst-second")
 					b.ReportMetric(r.BytesPerSecond, "B/s")
 					b.ReportMetric(r.Refused, "refused")
+					b.ReportMetric(float64(r.Requests), "worst-requests")
 				})
 			}
 		}
--- a/coordination/warmup/replay/world.go
+++ b/coordination/warmup/replay/world.go
@@ -22,6 +22,9 @@
 	Flows float64
 	// CopyShare is the share of flows whose opening packet is sent again 200 ms later.
 	CopyShare float64
+	// Requests is the number of requests that a flow carries, Pause the time between two.
+	Requests int
+	Pause    time.Duration
 	// Settle is the time after the start during which nothing is measured, so that lenders
 	// have settled; Duration is the measured time.
 	Settle, Duration time.Duration
@@ -144,6 +147,8 @@
 	// BytesPerSecond are those of one entry instance.
 	BytesPerSecond float64
 	Refused        float64
+	// Requests is the greatest number of requests within one second at one backend server.
+	Requests int
 }
 
 // step is the resolution of time.
@@ -296,13 +301,15 @@
 	r := Result{Budget: w.Tolerance.Budget(w.Rate)}
 	measured := 0
 	for _, list := range w.arrivals {
-		from := 0
-		slices.Sort(list)
-		for i, at := range list {
-			for at-list[from] >= int64(time.Second) {
-				from++
+		r.Worst = max(r.Worst, worstSecond(list))
+		requests := slices.Clone(list)
+		for k := 1; k < w.Requests; k++ {
+			for _, at := range list {
+				requests = append(requests, at+int64(k)*int64(w.Pause))
 			}
-			r.Worst = max(r.Worst, i-from+1)
+		}
+		r.Requests = max(r.Requests, worstSecond(requests))
+		for _, at := range list {
 			if at >= int64(w.Settle) {
 				measured++
 			}
@@ -315,3 +322,16 @@
 	}
 	return r
 }
+
+// worstSecond sorts the times and returns the greatest number of them within one second.
+func worstSecond(times []int64) (worst int) {
+	slices.Sort(times)
+	from := 0
+	for i, at := range times {
+		for at-times[from] >= int64(time.Second) {
+			from++
+		}
+		worst = max(worst, i-from+1)
+	}
+	return worst
+}
