Merge the limit on requests to cold backend servers

Cause: loans, evacuations and placement by expected work decide at the same place.

Change: the filter of cold servers applies to both ways of placement; a copy of an opening packet that was sent to an evacuated zone is dropped if no loan lets it go elsewhere.

--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -11,6 +11,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/egress"
+	"catkinrail.example/catkinrail/coordination/warmup"
 	"catkinrail.example/catkinrail/coordination/work"
 )
 
@@ -71,6 +72,9 @@
 	// ReasonEvacuated is a new flow to a service whose backend servers are all in
 	// evacuated zones.
 	ReasonEvacuated
+	// ReasonCold is an opening packet to a service of which only cold backend servers are
+	// left, without a loan for one of them.
+	ReasonCold
 	numReasons
 )
 
@@ -78,7 +82,7 @@
 func (r Reason) String() string {
 	names := [numReasons]string{
 		"placed", "copy", "next", "token", "no-route", "stale", "no-backend",
-		"unknown-token", "gone", "no-document", "overload", "link", "evacuated",
+		"unknown-token", "gone", "no-document", "overload", "link", "evacuated", "cold",
 	}
 	if r >= numReasons {
 		return "unknown"
@@ -170,6 +174,10 @@
 	// work is what its requests show, and others the load of the other instances.
 	work   work.Server
 	others othersLoad
+	// seenAt is the time at which this instance first heard of the incarnation;
+	// seenInTraffic is set if it had placed flows by then.
+	seenAt        int64
+	seenInTraffic bool
 }
 
 // Token returns the token that packets to the backend server carry.
@@ -201,6 +209,8 @@
 	sent, acked uint32
 	lastSeen    int64
 	flowCost
+	// priority is that of its route.
+	priority int
 }
 
 // Observer receives the times that the engine measures. It must not block.
@@ -237,6 +247,14 @@
 	// meanHandshake is the moving average of the handshake time, zero if unknown.
 	meanHandshake time.Duration
 	loads         sharedLoads
+	// cold holds the services whose requests to cold backend servers are limited, nil if
+	// there are none.
+	cold  map[string]*coldService
+	loans *warmup.Allowance
+	// placed is set once a flow was placed; oldestStart is the earliest start of a known
+	// incarnation, in Unix milliseconds.
+	placed      bool
+	oldestStart int64
 }
 
 // handshake is an attempt to open a flow.
@@ -252,7 +270,7 @@
 		routes:   map[netip.AddrPort]*catkinrail.Route{},
 		backends: map[string]*Backend{}, tokens: map[catkinrail.Token]*Backend{},
 		services: map[string][]*Backend{}, flows: map[catkinrail.FlowKey]*flow{},
-		placement: newPlacement(),
+		placement: newPlacement(), loans: warmup.NewAllowance(),
 	}
 }
 
@@ -299,11 +317,19 @@
 		return e.shed(p, ReasonLink)
 	}
 	service := r.Pick(e.rng.Uint64())
-	b := e.place(r, service, nil, now)
-	if b == nil {
+	e.countOpening(service, r.Priority)
+	b, cold := e.place(r, service, nil, r.Priority, now)
+	if b == nil && !cold {
 		return e.refuse(p, e.unplacedReason(service), now)
 	}
-	e.track(p, b, e.cost(r, b.Service, now), now)
+	if b == nil || !e.takeLoan(b, now) {
+		return e.shed(p, ReasonCold)
+	}
+	e.placed = true
+	f := e.track(p, b, now)
+	if f != nil {
+		f.priority, f.route = r.Priority, e.cost(r, b.Service, now)
+	}
 	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b, Class: egress.ClassOpening}
 }
 
@@ -369,18 +395,18 @@
 	evacuated := !f.open && e.isEvacuated(f.backend.Zone)
 	unanswered := now-f.openedAt >= int64(retransmitGap)
 	if f.open || (!unanswered && !evacuated) {
-		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
+		return e.repeat(f, now)
 	}
 	if unanswered {
 		e.recordMiss(f, now)
 	}
-	next := e.place(e.route(p), f.backend.Service, f.backend, now)
-	if next == nil && evacuated {
-		return Verdict{Action: Drop, Reason: ReasonEvacuated}
-	}
-	if next == nil || (next == f.previous && !evacuated) {
+	next, _ := e.place(e.route(p), f.backend.Service, f.backend, f.priority, now)
+	if next == nil || (next == f.previous && !evacuated) || !e.takeLoan(next, now) {
+		if evacuated {
+			return Verdict{Action: Drop, Reason: ReasonEvacuated}
+		}
 		f.openedAt = now
-		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
+		return e.repeat(f, now)
 	}
 	f.previous = f.backend
 	e.detach(f)
@@ -400,3 +426,12 @@
 	}
 	return ReasonNoBackend
 }
+
+// repeat forwards a copy of an opening packet to the backend server that it went to
+// before. A cold one counts it like a new flow, so that it needs a loan of its own.
+func (e *Engine) repeat(f *flow, now int64) Verdict {
+	if !e.takeLoan(f.backend, now) {
+		return Verdict{Action: Drop, Reason: ReasonCold}
+	}
+	return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
+}
--- a/coordination/token/observe.go
+++ b/coordination/token/observe.go
@@ -5,21 +5,23 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/egress"
-	"catkinrail.example/catkinrail/coordination/work"
 )
 
-// track starts to track a flow that was placed on a backend server.
-func (e *Engine) track(p *catkinrail.TokenPacket, b *Backend, r *work.Route, now int64) {
+// track starts to track a flow that was placed on a backend server. It returns nil if too many
+// are tracked.
+func (e *Engine) track(p *catkinrail.TokenPacket, b *Backend, now int64) *flow {
 	if old := e.flows[p.Flow]; old != nil {
 		e.untrack(p.Flow, old)
 	}
 	if len(e.flows) >= maxFlows {
-		return
+		return nil
 	}
-	e.flows[p.Flow] = &flow{backend: b, seq: p.Seq, openedAt: now, sent: p.Seq, lastSeen: now, flowCost: flowCost{route: r}}
+	f := &flow{backend: b, seq: p.Seq, openedAt: now, sent: p.Seq, lastSeen: now}
+	e.flows[p.Flow] = f
 	b.flows++
 	b.pendingHandshakes++
 	e.handshakes = append(e.handshakes, handshake{p.Flow, now})
+	return f
 }
 
 func (e *Engine) untrack(key catkinrail.FlowKey, f *flow) {
--- a/coordination/token/placement.go
+++ b/coordination/token/placement.go
@@ -71,8 +71,10 @@
 	costs      map[costKey]*work.Route
 	handshakes map[catkinrail.Zone]time.Duration
 	group      group
-	choices    [numChoiceKinds]uint64
-	spilled    map[catkinrail.Zone]uint64
+	// filter says which cold backend servers the flow that is being placed may go to.
+	filter  coldFilter
+	choices [numChoiceKinds]uint64
+	spilled map[catkinrail.Zone]uint64
 }
 
 type costKey struct{ route, service string }
@@ -244,30 +246,33 @@
 }
 
 // place returns the backend server for a new flow of the route, other than the one to avoid,
-// or nil if there is none. The route is nil if the document no longer has it.
-func (e *Engine) place(r *catkinrail.Route, service string, avoid *Backend, now int64) *Backend {
+// or nil if there is none. The route is nil if the document no longer has it. If the backend
+// server is cold, there is a loan for it, which the caller must use. cold is set if there is
+// none because all that take new flows are cold and without a loan.
+func (e *Engine) place(r *catkinrail.Route, service string, avoid *Backend, priority int, now int64) (b *Backend, cold bool) {
 	pl := &e.placement
+	pl.filter = e.newColdFilter(service, e.services[service], avoid, priority, now)
 	if s := pl.services[service]; s != nil && s.byWork && e.loads.fresh(now) {
 		if b := e.placeByWork(r, service, s, avoid, now); b != nil {
-			return b
+			return b, false
 		}
 	}
 	list := e.services[service]
 	if len(list) == 0 {
-		return nil
+		return nil, false
 	}
 	pl.candidates = pl.candidates[:0]
 	for _, b := range list {
 		c := b.candidate(e.zone, now)
-		c.Draining = c.Draining || b == avoid
+		c.Draining = c.Draining || b == avoid || pl.filter.excludes(e, b, now)
 		pl.candidates = append(pl.candidates, c)
 	}
 	i := place.Choose(pl.candidates, e.rng.Uint64())
 	if i < 0 {
-		return nil
+		return nil, pl.filter.excluded
 	}
 	pl.choices[ChoiceOwn]++
-	return list[i]
+	return list[i], false
 }
 
 // placeByWork returns the backend server for a new flow by the expected work, or nil if it
@@ -326,7 +331,7 @@
 func (g *group) At(i int) place.WorkCandidate {
 	b := g.backends[i]
 	c := place.WorkCandidate{Candidate: b.candidate(g.e.zone, g.now)}
-	c.Draining = c.Draining || b == g.avoid
+	c.Draining = c.Draining || b == g.avoid || g.e.placement.filter.excludes(g.e, b, g.now)
 	mean, others := g.req.MeanWork, b.others
 	if g.zone != nil {
 		// Only the zone's totals are known.
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -28,6 +28,7 @@
 	}
 	e.loads.shared = d.SharesLoads()
 	e.indexPlacement()
+	e.setWarmupLimits()
 	return true
 }
 
@@ -91,6 +92,11 @@
 // outdated report, only Silent counts.
 func (e *Engine) Update(list []FollowedBackend, now int64) []*Backend {
 	var changed []*Backend
+	for i := range list {
+		if at := list[i].StartedAt; at > 0 && (e.oldestStart == 0 || at < e.oldestStart) {
+			e.oldestStart = at
+		}
+	}
 	for i := range list {
 		in := &list[i]
 		b := e.backends[in.Name]
@@ -99,7 +105,7 @@
 		}
 		if b == nil || b.StartedAt != in.StartedAt {
 			// The flows of an earlier incarnation have ended with it.
-			b = &Backend{}
+			b = &Backend{seenAt: now, seenInTraffic: e.placed}
 			e.backends[in.Name] = b
 		}
 		if b.apply(in, now) {
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -85,7 +85,7 @@
 		return err
 	}
 	reg := metrics.NewRegistry()
-	d.router = packet.NewRouter(token.New(d.node.Zone, uint64(d.clock.Nanos())), d.clock)
+	d.router = packet.NewRouter(token.New(d.node.Zone, uint64(d.clock.Nanos())), d.clock, clock.Wall{})
 	d.client = follow.New(d.node.Name, d.node.Zone, seedAddrs(d.node), creds, d.clock, d.router, d.log)
 	d.loads = load.New(load.Config{
 		Name: d.node.Name, Zone: d.node.Zone, Process: rand.Uint64(), Creds: creds, Router: d.router, Follow: d.client,
