Merge load: rows keyed by a hash

Cause: placement and the shared loads both extend the backend server's state.

Change: both kept; the test of placement uses the new key.

--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -11,6 +11,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/egress"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/warmup"
 	"catkinrail.example/catkinrail/coordination/work"
 )
@@ -174,6 +175,8 @@
 	// work is what its requests show, and others the load of the other instances.
 	work   work.Server
 	others othersLoad
+	// loadKey identifies the incarnation in reports of load.
+	loadKey message.ServerKey
 	// seenAt is the time at which this instance first heard of the incarnation;
 	// seenInTraffic is set if it had placed flows by then.
 	seenAt        int64
--- a/coordination/token/placement_test.go
+++ b/coordination/token/placement_test.go
@@ -46,7 +46,7 @@
 	}
 	sums := slices.Clone(r.Servers)
 	for _, o := range others {
-		i := slices.IndexFunc(sums, func(l message.ServerLoad) bool { return l.Token == o.Token })
+		i := slices.IndexFunc(sums, func(l message.ServerLoad) bool { return l.Server == o.Server })
 		if i < 0 {
 			sums = append(sums, o)
 			continue
@@ -123,7 +123,7 @@
 // know to be busy, and against spillover to zones that must not get any.
 func TestPlacementByWork(t *testing.T) {
 	load := func(id catkinrail.Token, pending int) message.ServerLoad {
-		return message.ServerLoad{Token: id, StartedAt: 100, Pending: pending, Flows: pending}
+		return message.ServerLoad{Server: message.NewServerKey(id, 100), Pending: pending, Flows: pending}
 	}
 	room := []message.ZoneLoad{{Zone: "b", Service: "logbook", Slots: 8}}
 	full := []message.ZoneLoad{{Zone: "b", Service: "logbook", Slots: 8, Pending: 80, Latency: time.Second}}
