emulator: play evacuations in the demo and the soak

Cause: no run of the real programs gave an order to evacuate a zone.

Change: the stand-in's operator orders starts and ends, and its backend servers count flows that open more than 5 s after the start was acknowledged. The demo evacuates a zone for 6 s, the soak one zone at a time now and then, unless a service would lose its last backend server. Beside control instances of an older build the demo says that evacuations are not supported.

--- a/emulator/cmd/catkinrail-emulator/platform_run.go
+++ b/emulator/cmd/catkinrail-emulator/platform_run.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,7 +28,14 @@
 	// platformDrainGrace is the time after which a draining backend server must get
 	// no new flows; the users set it.
 	platformDrainGrace = 3 * time.Second
-	platformBackends   = 3
+	// platformEvacuationGrace is the time after which an evacuated zone must get no new
+	// flows; the users set it.
+	platformEvacuationGrace = 5 * time.Second
+	// platformEvacuation is the least duration of an evacuation, and
+	// platformEvacuationJitter what a soak test adds at most.
+	platformEvacuation       = 6 * time.Second
+	platformEvacuationJitter = 3 * time.Second
+	platformBackends         = 3
 	// platformUploadFlows is the number of flows that upload platformUploadSize bytes
 	// with each request.
 	platformUploadFlows = 2
@@ -95,6 +103,14 @@
 	// staleReads counts reads that returned an older document than the last one
 	// acknowledged.
 	staleReads int
+	// evacuated is the evacuated zone, empty if there is none, and evacuationEnd the time
+	// at which to end that.
+	evacuated     string
+	evacuationEnd time.Time
+	// evacuations counts the evacuations, and slowestOrder is the longest time until a start
+	// or an end was acknowledged.
+	evacuations  int
+	slowestOrder time.Duration
 }
 
 func (p *platformRun) run(ctx context.Context) error {
@@ -147,7 +163,9 @@
 		Name: fmt.Sprintf("i-%x", 0x7f000000+n), Service: service, Zone: string(rune('a' + n%platformBackends)),
 		Addr:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, p.subnet, 9, byte(n)}), standin.PacketPort),
 		Control: p.controlAddrs, CallerPort: standin.PacketPort, DrainGrace: platformDrainGrace,
+		EvacuationGrace: platformEvacuationGrace,
 	}
+	b.SetEvacuated(b.Zone == p.evacuated)
 	p.backends = append(p.backends, b)
 	g.Go(func() error { return b.Run(ctx) })
 }
@@ -195,7 +213,83 @@
 	}
 	fmt.Println("change: a backend server drains")
 	p.backends[0].Drain()
-	return p.checkRead(ctx, op, 2)
+	if err := p.checkRead(ctx, op, 2); err != nil {
+		return err
+	}
+	fmt.Println("change: a zone is evacuated")
+	err := p.evacuate(ctx, op, "c", platformEvacuation)
+	if errors.Is(err, standin.ErrNotSupported) {
+		fmt.Println("evacuations are not supported by an older control instance")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Until(p.evacuationEnd))
+	fmt.Println("change: the evacuation ends")
+	return p.endEvacuation(ctx, op)
+}
+
+// evacuate orders the evacuation of a zone for a time.
+func (p *platformRun) evacuate(ctx context.Context, op *standin.Operator, zone string, d time.Duration) error {
+	began := time.Now()
+	if err := op.Evacuate(ctx, zone, true); err != nil {
+		return err
+	}
+	p.evacuationEnd = time.Now().Add(d)
+	p.slowestOrder = max(p.slowestOrder, time.Since(began))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.evacuations++
+	p.evacuated = zone
+	for _, b := range p.backends {
+		if b.Zone == zone {
+			b.SetEvacuated(true)
+		}
+	}
+	return nil
+}
+
+// endEvacuation orders the end of the evacuation.
+func (p *platformRun) endEvacuation(ctx context.Context, op *standin.Operator) error {
+	p.mu.Lock()
+	zone := p.evacuated
+	p.evacuated = ""
+	for _, b := range p.backends {
+		b.SetEvacuated(false)
+	}
+	p.mu.Unlock()
+	began := time.Now()
+	err := op.Evacuate(ctx, zone, false)
+	p.slowestOrder = max(p.slowestOrder, time.Since(began))
+	return err
+}
+
+// serves reports whether a backend server that control knows, other than except, takes new
+// flows of the service while the zone is evacuated. The caller holds mu.
+func (p *platformRun) serves(service, zone string, except *standin.Backend) bool {
+	return slices.ContainsFunc(p.backends, func(b *standin.Backend) bool {
+		return b != except && b.Service == service && b.Zone != zone && !b.Draining() && b.Reported()
+	})
+}
+
+// churnEvacuation ends the evacuation in force if it is due. If there is none it evacuates a
+// random zone now and then, unless a service would lose its last backend server.
+func (p *platformRun) churnEvacuation(ctx context.Context, op *standin.Operator, rng *rand.Rand, routes []standin.Route) error {
+	zone, hold := string(rune('a'+rng.IntN(platformBackends))), platformEvacuation+time.Duration(rng.Int64N(int64(platformEvacuationJitter)))
+	if p.evacuated != "" {
+		if time.Now().Before(p.evacuationEnd) {
+			return nil
+		}
+		return p.endEvacuation(ctx, op)
+	}
+	p.mu.Lock()
+	served := !slices.ContainsFunc(routes, func(r standin.Route) bool { return !p.serves(r.Service, zone, nil) })
+	p.mu.Unlock()
+	if !served {
+		return nil
+	}
+	return p.evacuate(ctx, op, zone, hold)
 }
 
 // extraRoute returns the n-th route that callers don't use.
@@ -203,12 +297,17 @@
 	return standin.Route{Listen: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(n)}), 443), Service: "feed"}
 }
 
-// churn changes the document or replaces a backend server at random times until
-// callCtx ends.
+// churn changes the document, replaces a backend server or evacuates a zone at random times
+// until callCtx ends.
 func (p *platformRun) churn(callCtx, ctx context.Context, g *errgroup.Group, routes []standin.Route, op *standin.Operator) error {
-	rng := rand.New(rand.NewPCG(p.seed, 1))
+	rng, evacuations := rand.New(rand.NewPCG(p.seed, 1)), rand.New(rand.NewPCG(p.seed, 2))
 	for version := uint64(2); callCtx.Err() == nil; version++ {
 		clock.Sleep(callCtx, time.Duration(rng.Int64N(int64(platformMaxChangeInterval))))
+		if evacuations.IntN(3) == 0 {
+			if err := p.churnEvacuation(ctx, op, evacuations, routes); err != nil {
+				return err
+			}
+		}
 		if rng.IntN(2) == 0 {
 			p.replaceBackend(ctx, g, routes[rng.IntN(uploadRoute)].Service)
 			continue
@@ -235,7 +334,9 @@
 	defer p.mu.Unlock()
 	for _, b := range p.backends {
 		if b.Service == service && !b.Draining() {
-			b.Drain()
+			if p.evacuated == "" || p.serves(service, p.evacuated, b) {
+				b.Drain()
+			}
 			return
 		}
 	}
@@ -253,20 +354,22 @@
 }
 
 // report prints the counts. It returns an error if nothing was served, a flow was
-// broken or refused, a request moved to another backend server, a flow was late or a
-// read stale. It doesn't judge how long things took: unopened flows and unanswered
+// broken or refused, a request moved to another backend server, a flow was late or went to an
+// evacuated zone, or a read was stale. It doesn't judge how long things took: unopened flows and unanswered
 // requests are only printed.
 func (p *platformRun) report() error {
-	late := int64(0)
+	late, evacuated := int64(0), int64(0)
 	for _, b := range p.backends {
 		late += b.LateFlows.Load()
+		evacuated += b.EvacuatedFlows.Load()
 	}
 	c := &p.counts
 	fmt.Printf("requests-served: %d\nflows-refused: %d\nflows-unopened: %d\nrequests-silent: %d\n",
 		c.Served.Load(), c.Refused.Load(), c.Unopened.Load(), c.Unanswered.Load())
 	fmt.Printf("flows-broken: %d\nrequests-moved: %d\nflows-late: %d\nreads-stale: %d\n",
 		c.Broken.Load(), c.Moved.Load(), late, p.staleReads)
-	if c.Served.Load() == 0 || c.Broken.Load() > 0 || c.Moved.Load() > 0 || c.Refused.Load() > 0 || late > 0 || p.staleReads > 0 {
+	fmt.Printf("evacuations: %d\nflows-into-evacuated: %d\nslowest-evacuation-order: %s\n", p.evacuations, evacuated, p.slowestOrder.Round(time.Millisecond))
+	if evacuated > 0 || c.Served.Load() == 0 || c.Broken.Load() > 0 || c.Moved.Load() > 0 || c.Refused.Load() > 0 || late > 0 || p.staleReads > 0 {
 		return errViolation
 	}
 	return nil
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the system on loopback addresses with the settings of the users' platform, with
-# emulated callers, backend servers and operator. One entry instance is killed, one is
+# emulated callers, backend servers and operator, which evacuates a zone for 6 s. One entry instance is killed, one is
 # stopped, and the control instances are killed and restarted one after the other.
 # Every flow must stay on its backend server. Fails if a check of platform-run fails.
 set -u
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -4,9 +4,10 @@
 # from SEED: processes are killed, paused, stopped and restarted; connections to control
 # instances are delayed, reset, blocked in one direction or silenced; disks are lost,
 # left with a torn write or limited in file size; documents change, backend servers are
-# replaced, and callers' packets are lost or repeated. Fails if no request is served, a
+# replaced, zones are evacuated, and callers' packets are lost or repeated. Fails if no request is served, a
 # flow breaks, is refused, reaches a second backend server or opens too late on a
-# draining one, or a document is read that is older than an acknowledged one.
+# draining one or in an evacuated zone, or a document is read that is older than an
+# acknowledged one.
 set -u
 seed=${1:?usage: soak.sh SEED [SECONDS [NET]]}
 seconds=${2:-20}
