control: announce features again where an older build has dropped them

An older build stores the members without features; after its upgrade the instance read them back, took the leader for an older build and didn't announce its own.

Change: an instance announces its features while its own members lack them. If a leader replies that nothing is left to do although they still do, the leader is of an older build, and is asked again after 10 s or when the term changes.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -43,8 +43,9 @@
 	joinInterval      = 200 * time.Millisecond
 	bootstrapInterval = 200 * time.Millisecond
 	contactInterval   = 500 * time.Millisecond
-	// announceInterval is the least time between two requests that only announce features.
-	announceInterval = time.Second
+	// announceInterval is the time after which features are announced again to a leader that
+	// has not recorded them.
+	announceInterval = 10 * time.Second
 	startTimeout     = 5 * time.Second
 )
 
@@ -261,19 +262,23 @@
 // keepJoined requests to join, at an interval, while this instance isn't a voter with
 // its own name and addresses. It also does so while the instance is out of contact
 // with a leader, since it may have been removed in that time. After an upgrade it
-// announces its features in the same way, once the leader has announced its own.
+// announces its features in the same way. A leader of an older build does nothing about that;
+// the next leader is asked, or the same one after announceInterval.
 func (d *daemon) keepJoined(ctx context.Context, c *core.Core, v *voter.Transport) error {
 	req := &message.JoinRequest{Node: d.identity.Node, Peer: d.self()}
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	var announced time.Time
+	var refusedTerm uint64
+	var refusedAt time.Time
 	for i := 0; ; i++ {
-		switch now := d.clock.Now(); {
+		term, now := c.Published().Term, d.clock.Now()
+		switch {
 		case !c.Joined(req.Peer):
 			d.requestJoin(ctx, c, v, req, i)
-		case c.MayAnnounce(req.Peer) && now.Sub(announced) >= announceInterval:
-			announced = now
-			d.requestJoin(ctx, c, v, req, toLeader)
+		case c.Announced(req.Peer):
+		case term == refusedTerm && now.Sub(refusedAt) < announceInterval:
+		case d.requestJoin(ctx, c, v, req, toLeader):
+			refusedTerm, refusedAt = term, now
 		}
 		select {
 		case <-ctx.Done():
@@ -288,14 +293,16 @@
 
 // requestJoin sends a join request. Even attempts go to the leader if one is known,
 // the others to the known instances in turn. A leader sends it to itself, so that its
-// own name and addresses get updated.
-func (d *daemon) requestJoin(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest, attempt int) {
+// own name and addresses get updated. It reports whether a leader replied that nothing is left
+// to do.
+func (d *daemon) requestJoin(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest, attempt int) (done bool) {
 	state := c.Published()
 	if state.Leader == state.Node {
-		if _, err := c.Join(ctx, req); err != nil {
+		reply, err := c.Join(ctx, req)
+		if err != nil {
 			d.log.Debug().Err(err).Msg("join request to itself failed")
 		}
-		return
+		return err == nil && !reply.RetryLater
 	}
 	known := slices.Clone(d.seeds())
 	for _, id := range cluster.SortedKeys(state.Members.Nodes) {
@@ -310,11 +317,13 @@
 		addr = named
 	}
 	if addr == d.cfg.Address {
-		return
+		return false
 	}
-	if _, err := v.Join(ctx, addr, req); err != nil {
+	done, err := v.Join(ctx, addr, req)
+	if err != nil {
 		d.log.Debug().Err(err).Str("peer", addr).Msg("join request failed")
 	}
+	return done && err == nil
 }
 
 // serveMetrics serves the metrics and health pages until ctx ends. The instance is
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -41,15 +41,12 @@
 	return s.Members.Voter(s.Node) && known == self && c.now()-c.Synced() < int64(memberTimeout)
 }
 
-// MayAnnounce reports whether this instance's features differ from those that the members
-// know and the leader can record them: it is this instance, or has announced its own. A leader
-// of an older build would drop them.
-func (c *Core) MayAnnounce(self quorum.Peer) bool {
+// Announced reports whether this instance's members hold its features. They may lack them although
+// the leader has them: builds that don't know features drop them from the entries that they store,
+// and a later build reads these entries.
+func (c *Core) Announced(self quorum.Peer) bool {
 	s := c.Published()
-	if s.Members.Nodes[s.Node].Features == self.Features {
-		return false
-	}
-	return s.Leader == s.Node || s.Members.Nodes[s.Leader].Features != 0
+	return s.Members.Nodes[s.Node].Features == self.Features
 }
 
 // Join takes one step towards a vote for an instance: it is added as a learner,
