token, place: spread flows by the level that unseen ones raise; replays of hard loads

Cause: in replays the best of eight servers by sums that are 250 ms old drew the flows of all instances to the same servers, and rejections passed for fast answers.

Change: candidates are drawn by the level up to which the flows that other instances place meanwhile raise them. Rejections are told from work by their time. Spillover weighs zone means and takes a zone's need by Little's law. Metrics placed-KIND and spilled-ZONE.

--- a/coordination/place/loads_test.go
+++ b/coordination/place/loads_test.go
@@ -10,12 +10,14 @@
 
 	"github.com/stretchr/testify/require"
 
+	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/place"
+	"catkinrail.example/catkinrail/coordination/token"
 )
 
 // The simulated system: zones of entry instances, which know their own flows only, and
-// of backend servers with two slots. Callers open a flow for each request or keep one
-// for many.
+// of backend servers. Callers open a flow for each request or keep one for many. The shape
+// says how many of each; these are the defaults.
 const (
 	loadZones       = 4
 	entriesPerZone  = 3
@@ -48,17 +50,56 @@
 	loadStart  = 2 * time.Second
 	changeTime = 4 * time.Second
 	loadEnd    = 14 * time.Second
+	// maxRetries is the number of times that a caller repeats a rejected request.
+	maxRetries = 2
 )
 
+// shape is the size of the simulated system.
+type shape struct {
+	zones, entries, servers, slots int
+	// queue is the number of requests that a backend server queues before it rejects;
+	// zero is no limit.
+	queue       int
+	long, short class
+	// callers is the number of callers in a zone that keep a flow open, interval the mean
+	// time between two flows of a single request.
+	callers  int
+	interval time.Duration
+}
+
+// class is a kind of requests.
+type class struct {
+	route int
+	// work is the mean time of a request, exponentially distributed, or constant.
+	work     time.Duration
+	constant bool
+	// tail is the share of requests that take seven times as long.
+	tail          float64
+	target, limit time.Duration
+	worth         float64
+}
+
+func defaultShape() shape {
+	c := class{work: requestTime, target: latencyTarget, limit: time.Hour, worth: 1}
+	short := c
+	short.route = 1
+	return shape{
+		zones: loadZones, entries: entriesPerZone, servers: backendsPerZone, slots: replaySlots,
+		long: c, short: short, callers: longFlows, interval: shortInterval,
+	}
+}
+
 // backendServer is a simulated backend server.
 type backendServer struct {
-	zone      int
-	slowdown  float64 // time of a request, relative to requestTime
+	id, zone  int
+	slowdown  float64 // time of a request, relative to its work
 	startedAt time.Duration
 	drainAt   time.Duration // zero for never
 	failAt    time.Duration // zero for never
-	free      [replaySlots]time.Duration
-	byEntry   [loadZones * entriesPerZone]observed
+	free      []time.Duration
+	byEntry   []observed
+	pending   int
+	arrivals  int
 }
 
 // observed is what an entry instance has observed of a backend server.
@@ -67,19 +108,41 @@
 	latency, lastMiss      time.Duration
 }
 
+// result is the outcome of a request.
+type result struct {
+	zone  int
+	class *class
+	began time.Duration
+	took  time.Duration
+	lost  bool
+}
+
+// openFlow is a caller's flow. The number n identifies its packets.
+type openFlow struct {
+	b        *backendServer
+	e, n     int
+	seq, ack uint32
+}
+
 // simulation runs the simulated system event by event.
 type simulation struct {
-	rng     *rand.Rand
-	choose  func(list []place.Candidate, random uint64) int
+	shape
+	rng    *rand.Rand
+	choose func(list []place.Candidate, random uint64) int
+	// engines place the flows instead of choose, if there are any.
+	engines []*token.Engine
 	now     time.Duration
 	events  []event
 	servers []*backendServer
-	lost    [loadZones * entriesPerZone]bool
+	lost    []bool
 	// callerZone is the zone that the callers of each zone reach.
-	callerZone [loadZones]int
-	// shortFactor multiplies the rate of flows of a single request.
-	shortFactor float64
-	latencies   []time.Duration
+	callerZone []int
+	// factor multiplies the rate of flows of a single request, by zone.
+	factor    []float64
+	latencies []time.Duration
+	results   []result
+	rejected  int
+	flows     int
 }
 
 type event struct {
@@ -103,43 +166,54 @@
 
 // add adds a backend server that starts now.
 func (s *simulation) add(zone int) {
-	s.servers = append(s.servers, &backendServer{zone: zone, slowdown: 1, startedAt: s.now})
+	s.servers = append(s.servers, &backendServer{
+		id: len(s.servers), zone: zone, slowdown: 1, startedAt: s.now,
+		free: make([]time.Duration, s.slots), byEntry: make([]observed, s.zones*s.entries),
+	})
 }
 
 // entry returns an entry instance that a packet of a caller of the zone reaches.
 func (s *simulation) entry(zone int) int {
 	for {
-		if e := s.callerZone[zone]*entriesPerZone + s.rng.IntN(entriesPerZone); !s.lost[e] {
+		if e := s.callerZone[zone]*s.entries + s.rng.IntN(s.entries); !s.lost[e] {
 			return e
 		}
 	}
 }
 
+func (s *simulation) reported(t, delay time.Duration) bool { return t > 0 && s.now > t+delay }
+
+func (s *simulation) warmup(b *backendServer) time.Duration {
+	if b.startedAt == 0 {
+		return 0
+	}
+	return max(0, b.startedAt+warmupTime-s.now)
+}
+
 // candidate returns the backend server as entry instance e observes it, and whether
 // e knows of it.
 func (s *simulation) candidate(b *backendServer, e int) (place.Candidate, bool) {
 	v := &b.byEntry[e]
-	warmup := time.Duration(0)
-	if b.startedAt > 0 {
-		warmup = max(0, b.startedAt+warmupTime-s.now)
-	}
-	reported := func(t, delay time.Duration) bool { return t > 0 && s.now > t+delay }
 	return place.Candidate{
-		Slots: replaySlots, Pending: v.pending, Flows: v.flows, Latency: v.latency, Warmup: warmup,
-		Misses: v.misses, SinceMiss: s.now - v.lastMiss, Silent: reported(b.failAt, silentDelay),
-		Draining: reported(b.drainAt, updateDelay), Local: b.zone == e/entriesPerZone,
+		Slots: s.slots, Pending: v.pending, Flows: v.flows, Latency: v.latency, Warmup: s.warmup(b),
+		Misses: v.misses, SinceMiss: s.now - v.lastMiss, Silent: s.reported(b.failAt, silentDelay),
+		Draining: s.reported(b.drainAt, updateDelay), Local: b.zone == e/s.entries,
 	}, s.now >= b.startedAt+updateDelay || b.startedAt == 0
 }
 
-// place opens a flow for a caller of the zone and calls opened with its backend server
-// and entry instance. A backend server that has failed leaves the opening packet
-// unanswered; the caller then retransmits it.
-func (s *simulation) place(zone int, avoid *backendServer, opened func(b *backendServer, e int)) {
-	e := s.entry(zone)
+// place opens a flow for a caller of the zone and calls opened with it. A backend server
+// that has failed leaves the opening packet unanswered; the caller then retransmits it.
+func (s *simulation) place(zone int, avoid *backendServer, c *class, opened func(f *openFlow)) {
+	f := &openFlow{e: s.entry(zone), n: s.flows}
+	s.flows++
+	if s.engines != nil {
+		s.open(f, c, 0, opened)
+		return
+	}
 	var list []place.Candidate
 	var known []*backendServer
 	for _, b := range s.servers {
-		c, ok := s.candidate(b, e)
+		c, ok := s.candidate(b, f.e)
 		if ok && !c.Draining && b != avoid {
 			list = append(list, c)
 			known = append(known, b)
@@ -148,112 +222,199 @@
 	b := known[s.choose(list, s.rng.Uint64())]
 	if b.failAt > 0 && s.now >= b.failAt {
 		s.at(s.now+retransmitAfter, func() {
-			b.byEntry[e].misses++
-			b.byEntry[e].lastMiss = s.now
-			s.place(zone, b, opened)
+			b.byEntry[f.e].misses++
+			b.byEntry[f.e].lastMiss = s.now
+			s.place(zone, b, c, opened)
 		})
 		return
 	}
-	b.byEntry[e].flows++
-	opened(b, e)
+	f.b = b
+	b.byEntry[f.e].flows++
+	opened(f)
+}
+
+// close ends a flow.
+func (s *simulation) close(f *openFlow, c *class) {
+	f.b.byEntry[f.e].flows--
+	s.send(f, c, func(p *catkinrail.TokenPacket) { p.Closing = true })
 }
 
-// request runs a request on an open flow and calls done after its answer. If the
-// backend server fails meanwhile, the request counts as one that took an hour.
-func (s *simulation) request(b *backendServer, e int, began time.Duration, done func()) {
-	slot := 0
-	for i, free := range b.free {
-		if free < b.free[slot] {
-			slot = i
+// request runs a request on an open flow and calls done after its answer, with false if the
+// backend server rejected it. If the backend server fails meanwhile, the request counts as
+// one that took an hour.
+func (s *simulation) request(f *openFlow, c *class, zone int, began time.Duration, done func(accepted bool)) {
+	b, v := f.b, &f.b.byEntry[f.e]
+	s.send(f, c, func(p *catkinrail.TokenPacket) { p.Payload = 90 })
+	b.arrivals++
+	accepted := s.queue == 0 || b.pending < s.slots+s.queue
+	ends := s.now
+	if accepted {
+		slot := 0
+		for i, free := range b.free {
+			if free < b.free[slot] {
+				slot = i
+			}
 		}
+		ends = max(s.now, b.free[slot]) + s.work(c, b)
+		b.free[slot] = ends
+		b.pending++
+	} else {
+		s.rejected++
 	}
-	work := time.Duration(s.rng.ExpFloat64() * float64(requestTime) * b.slowdown)
-	if s.now < b.startedAt+warmupTime && b.startedAt > 0 {
-		work *= coldFactor
-	}
-	ends := max(s.now, b.free[slot]) + work
-	b.free[slot] = ends
-	v := &b.byEntry[e]
 	v.pending++
 	asked := s.now
-	if b.zone != e/entriesPerZone {
+	if b.zone != f.e/s.entries {
 		ends += crossZoneDelay
 	}
+	if s.engines != nil {
+		ends += roundTrip
+	}
 	s.at(ends, func() {
 		v.pending--
+		if accepted {
+			b.pending--
+		}
 		if b.failAt > 0 && s.now >= b.failAt {
-			s.count(time.Hour)
-			done()
+			s.count(c, zone, began, time.Hour)
+			done(true)
 			return
 		}
+		s.send(f, c, nil)
 		if v.latency == 0 {
 			v.latency = s.now - asked
 		}
 		v.latency += (s.now - asked - v.latency) / 8
 		v.misses = 0
-		s.count(s.now - began)
-		done()
+		if accepted {
+			s.count(c, zone, began, s.now-began)
+		}
+		done(accepted)
 	})
 }
 
-func (s *simulation) count(took time.Duration) {
+// work returns the time that a request of the class takes on the backend server.
+func (s *simulation) work(c *class, b *backendServer) time.Duration {
+	d := float64(c.work)
+	if !c.constant {
+		d *= s.rng.ExpFloat64()
+	}
+	if c.tail > 0 && s.rng.Float64() < c.tail {
+		d *= 7
+	}
+	w := time.Duration(d * b.slowdown)
+	if s.now < b.startedAt+warmupTime && b.startedAt > 0 {
+		w *= coldFactor
+	}
+	return w
+}
+
+func (s *simulation) count(c *class, zone int, began, took time.Duration) {
 	if s.now >= loadStart {
 		s.latencies = append(s.latencies, took)
+		s.results = append(s.results, result{zone, c, began, took, took > c.limit})
 	}
 }
 
-// short opens flows of a single request until the end.
-func (s *simulation) short(zone int) {
-	s.after(time.Duration(float64(shortInterval)/s.shortFactor), func() {
-		began := s.now
-		s.place(zone, nil, func(b *backendServer, e int) {
-			s.request(b, e, began, func() { b.byEntry[e].flows-- })
+// retry repeats a rejected request on a new flow, up to maxRetries times, and calls done with
+// the flow that it was answered on, or nil.
+func (s *simulation) retry(c *class, zone int, began time.Duration, attempt int, done func(f *openFlow)) {
+	if attempt > maxRetries {
+		s.count(c, zone, began, time.Hour)
+		done(nil)
+		return
+	}
+	s.place(zone, nil, c, func(f *openFlow) {
+		s.request(f, c, zone, began, func(accepted bool) {
+			if accepted {
+				done(f)
+				return
+			}
+			s.close(f, c)
+			s.retry(c, zone, began, attempt+1, done)
+		})
+	})
+}
+
+// shortRequests opens flows of a single request until the end.
+func (s *simulation) shortRequests(zone int) {
+	s.after(time.Duration(float64(s.interval)/s.factor[zone]), func() {
+		s.retry(&s.short, zone, s.now, 0, func(f *openFlow) {
+			if f != nil {
+				s.close(f, &s.short)
+			}
 		})
-		s.short(zone)
+		s.shortRequests(zone)
 	})
 }
 
-// long keeps a flow open for many requests, and then opens the next.
-func (s *simulation) long(zone int) {
+// longFlow keeps a flow open for many requests, and then opens the next, until the given
+// time.
+func (s *simulation) longFlow(zone int, until time.Duration) {
 	s.after(longPause, func() {
-		began := s.now
-		s.place(zone, nil, func(b *backendServer, e int) { s.nextRequest(zone, b, e, began, flowRequests) })
+		if s.now >= until {
+			return
+		}
+		s.retry(&s.long, zone, s.now, 0, func(f *openFlow) { s.nextRequest(zone, f, flowRequests-1, until) })
 	})
 }
 
 // nextRequest makes the next request of a long flow. The flow ends after its last
-// request, or after the current one if the backend server drains or has failed.
-func (s *simulation) nextRequest(zone int, b *backendServer, e int, began time.Duration, left int) {
-	s.request(b, e, began, func() {
-		if left == 1 || (b.drainAt > 0 && s.now > b.drainAt) || (b.failAt > 0 && s.now >= b.failAt) {
-			b.byEntry[e].flows--
-			s.long(zone)
-			return
+// request, or before the next one if the backend server drains or has failed.
+func (s *simulation) nextRequest(zone int, f *openFlow, left int, until time.Duration) {
+	if f == nil {
+		s.longFlow(zone, until)
+		return
+	}
+	b := f.b
+	if left == 0 || (b.drainAt > 0 && s.now > b.drainAt) || (b.failAt > 0 && s.now >= b.failAt) || s.now >= until {
+		s.close(f, &s.long)
+		s.longFlow(zone, until)
+		return
+	}
+	s.after(longPause, func() {
+		if s.lost[f.e] {
+			// Another instance takes over the flow.
+			f.e = s.entry(zone)
+			b.byEntry[f.e].flows++
 		}
-		s.after(longPause, func() {
-			if s.lost[e] {
-				// Another instance takes over the flow.
-				e = s.entry(zone)
-				b.byEntry[e].flows++
+		began := s.now
+		s.request(f, &s.long, zone, began, func(accepted bool) {
+			if accepted {
+				s.nextRequest(zone, f, left-1, until)
+				return
 			}
-			s.nextRequest(zone, b, e, s.now, left-1)
+			s.close(f, &s.long)
+			s.retry(&s.long, zone, began, 1, func(f *openFlow) { s.nextRequest(zone, f, left-1, until) })
 		})
 	})
 }
 
-// replayLoad simulates a load and returns the times of all answers, sorted.
-func replayLoad(seed uint64, choose func([]place.Candidate, uint64) int, change func(*simulation)) []time.Duration {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 3)), choose: choose, shortFactor: 1}
-	for z := range loadZones {
-		s.callerZone[z] = z
-		for range backendsPerZone {
+// setFactor sets the factor of the rate of flows of a single request in all zones.
+func (s *simulation) setFactor(f float64) {
+	for z := range s.factor {
+		s.factor[z] = f
+	}
+}
+
+// newSimulation returns a simulation of the shape.
+func newSimulation(sh shape, seed uint64) *simulation {
+	s := &simulation{shape: sh, rng: rand.New(rand.NewPCG(seed, 3)), lost: make([]bool, sh.zones*sh.entries)}
+	for z := range s.zones {
+		s.callerZone = append(s.callerZone, z)
+		s.factor = append(s.factor, 1)
+		for range sh.servers {
 			s.add(z)
 		}
-		for range longFlows {
-			s.long(z)
+		for range s.callers {
+			s.longFlow(z, loadEnd)
 		}
-		s.short(z)
+		s.shortRequests(z)
 	}
+	return s
+}
+
+// run runs the simulation until its end; the load changes at changeTime.
+func (s *simulation) run(change func(*simulation)) {
 	s.at(changeTime, func() { change(s) })
 	for len(s.events) > 0 && s.events[0].at < loadEnd {
 		e := s.events[0]
@@ -262,6 +423,13 @@
 		e.do()
 	}
 	slices.Sort(s.latencies)
+}
+
+// replayLoad simulates a load and returns the times of all answers, sorted.
+func replayLoad(seed uint64, choose func([]place.Candidate, uint64) int, change func(*simulation)) []time.Duration {
+	s := newSimulation(defaultShape(), seed)
+	s.choose = choose
+	s.run(change)
 	return s.latencies
 }
 
@@ -272,8 +440,8 @@
 }{
 	{"steady", func(*simulation) {}},
 	{"burst: four times the short flows for 4 s", func(s *simulation) {
-		s.shortFactor = 4
-		s.at(s.now+4*time.Second, func() { s.shortFactor = 1 })
+		s.setFactor(4)
+		s.at(s.now+4*time.Second, func() { s.setFactor(1) })
 	}},
 	{"shift: the callers of one zone move to the next", func(s *simulation) { s.callerZone[0] = 1 }},
 	{"slow: one backend server of each zone takes five times as long", func(s *simulation) {
--- a/coordination/place/spill.go
+++ b/coordination/place/spill.go
@@ -5,6 +5,8 @@
 // ZoneState is the load of a service in an availability zone, over all entry instances.
 type ZoneState struct {
 	Slots, Pending int
+	// Limit is the number of requests that the backend servers hold before they reject any.
+	Limit int
 	// Latency is the mean time of a request; zero if unknown.
 	Latency time.Duration
 	// Distance is the time by which a request to the zone takes longer than one at home,
@@ -12,6 +14,8 @@
 	Distance time.Duration
 	// Own is the number of requests that this instance has pending there.
 	Own int
+	// Cold is set if a backend server warms up there.
+	Cold bool
 	// Usable is set if there is fresh news of the zone and it has backend servers that
 	// take new flows and are warm.
 	Usable bool
@@ -38,6 +42,8 @@
 // its share of the room there as a rate of work, so that the instances of the crowded zones
 // together take no more than there is.
 type Spill struct {
+	// home is the load of the own zone.
+	home  ZoneState
 	zones []spillZone
 }
 
@@ -52,10 +58,11 @@
 
 // Update takes in the news of the home zone and the others. Instances is the number of entry
 // instances in the home zone. The order of the zones must stay the same; Reset changes it.
-func (s *Spill) Update(home ZoneState, zones []ZoneState, instances int, now int64) {
+func (s *Spill) Update(home ZoneState, zones []ZoneState, instances int, mean time.Duration, now int64) {
 	if len(s.zones) != len(zones) {
 		s.zones = make([]spillZone, len(zones))
 	}
+	s.home = home
 	instances = max(1, instances)
 	claims := 1.0
 	for i := range zones {
@@ -68,11 +75,16 @@
 		z.accrue(now)
 		z.ZoneState = zones[i]
 		room := 0.0
-		if z.Usable && 100*home.Pending > crowdedUse*home.Slots {
+		if z.Usable && (home.Cold || 100*home.Pending > crowdedUse*home.Slots) {
 			// What the zone's own instances and other zones need: all but the part of this
 			// zone, whose instances all send about as much as this one. Half of the rest is
 			// taken, so that two zones that see the same room at first don't overfill it.
+			// By Little's law the requests that are pending times the share of their time
+			// that is work are the slots in use.
 			need := float64(z.Pending - z.Own*instances)
+			if z.Latency > 0 {
+				need *= min(1, float64(mean)/float64(z.Latency))
+			}
 			room = max(0, float64(z.Slots)*maxUse/100-max(0, need)) / claims / float64(instances)
 		}
 		if room < z.room {
@@ -90,9 +102,24 @@
 	z.at = now
 }
 
-// Choose returns the index of the zone that a new flow goes to, or -1 for home. Wait is the
-// time for which its request is expected to wait at home, random breaks ties.
-func (s *Spill) Choose(r *Request, wait time.Duration, random uint64, now int64) int {
+// Choose returns the index of the zone that a new flow goes to, or -1 for home, where it
+// would go to the chosen server. Random breaks ties.
+func (s *Spill) Choose(r *Request, home Choice, random uint64, now int64) int {
+	if 100*s.home.Pending <= crowdedUse*s.home.Slots && home.Slower < r.Work {
+		return -1
+	}
+	wait := home.Wait
+	if s.home.Latency > 0 {
+		// A single server's wait is known less well than the mean over the zone.
+		wait = min(wait, max(0, s.home.Latency-r.MeanWork))
+	}
+	if s.home.Limit > 0 {
+		// Where most servers are near the limit of their queues, the wait is that of a request
+		// that may be rejected: twice as long if all are full.
+		full := min(1, float64(s.home.Pending)/float64(s.home.Limit))
+		wait += time.Duration(full * full * float64(wait))
+	}
+	wait += home.Slower
 	best, bestGain := -1, r.Work/minGain
 	n := len(s.zones)
 	for k := range n {
--- a/coordination/place/work.go
+++ b/coordination/place/work.go
@@ -34,6 +34,11 @@
 	// IdleWork is the work that an open flow without a pending request brings within the
 	// horizon for which a choice counts.
 	IdleWork time.Duration
+	// Unseen is the number of flows that the other entry instances place for each backend
+	// server before their sums are renewed.
+	Unseen float64
+	// Instances is the number of entry instances that place flows on the same servers.
+	Instances int
 }
 
 const (
@@ -43,6 +48,11 @@
 	// maxSamples is the number of samples that are looked at while none has a candidate of
 	// the best rank.
 	maxSamples = 4
+	// Of several draws the one on which this instance has the least load is taken. That is
+	// fresh, unlike the sums, and says the more the fewer instances there are: with three,
+	// one draw had twice as many late answers in a burst as five; with 42, five had half as
+	// many rejections again as three.
+	fewDraws, manyDraws, fewInstances = 3, 5, 8
 )
 
 // WorkHorizon is the time for which the work that idle flows bring counts: about that of a
@@ -55,6 +65,9 @@
 	Index int
 	// Wait is the time for which the request is expected to wait there.
 	Wait time.Duration
+	// Slower is the time by which it runs longer there than expected of its route, because
+	// the server is slow or cold.
+	Slower time.Duration
 	// Reachable is set if the candidate is neither silent nor suspect.
 	Reachable bool
 }
@@ -66,38 +79,130 @@
 func ChooseByWork(g Group, r *Request, random uint64) Choice {
 	n := g.Len()
 	best := Choice{Index: -1}
-	bestRank, bestTotal := 0, 0.0
+	var s sample
 	for range maxSamples {
 		d := min(n, sampleSize)
 		if d == 0 {
-			return best
+			break
 		}
 		start := index(next(&random), n)
 		for k := range d {
 			// One of each d-th part of the list, so that none is drawn twice.
 			from, to := k*n/d, (k+1)*n/d
 			i := (start + from + index(next(&random), to-from)) % n
-			c := g.At(i)
-			if c.Draining {
-				continue
-			}
-			w, total := c.expect(r)
-			if rank := c.rank(); best.Index < 0 || rank < bestRank || (rank == bestRank && total < bestTotal) {
-				best = Choice{i, time.Duration(w), rank == 0}
-				bestRank, bestTotal = rank, total
+			if c := g.At(i); !c.Draining {
+				s.add(&c, i, r)
 			}
 		}
-		if best.Reachable || n <= sampleSize {
+		if (s.n > 0 && s.rank == 0) || n <= sampleSize {
+			break
+		}
+	}
+	if s.n > 0 {
+		k := s.draw(r, next(&random))
+		c := &s.list[k]
+		slower := time.Duration(c.step*float64(c.slots)) - r.Work
+		best = Choice{c.index, time.Duration(c.wait), max(0, slower), s.rank == 0}
+	}
+	return best
+}
+
+// sample holds the candidates of the best rank that a choice has looked at, by the expected
+// time to the answer.
+type sample struct {
+	list [sampleSize]sampled
+	n    int
+	rank int
+}
+
+type sampled struct {
+	index int
+	wait  float64
+	// total is the measure by which candidates are compared, and step that by which a flow
+	// raises it.
+	total, step float64
+	// own is the part of the total that this instance has brought.
+	own   float64
+	cold  bool
+	slots int
+}
+
+func (s *sample) add(c *WorkCandidate, i int, r *Request) {
+	rank := c.rank()
+	if s.n > 0 && rank > s.rank {
+		return
+	}
+	if rank < s.rank {
+		s.n = 0
+	}
+	if s.n == 0 {
+		s.rank = rank
+	}
+	v := sampled{index: i, cold: c.Warmup > 0, slots: max(1, c.Slots)}
+	v.wait, v.total, v.step = c.expect(r)
+	v.own = (float64(c.Remaining) + float64(max(0, c.Flows-c.Pending))*float64(r.IdleWork)) * v.step
+	k := s.n
+	if k == len(s.list) {
+		if k--; s.list[k].total <= v.total {
+			return
+		}
+	} else {
+		s.n++
+	}
+	for ; k > 0 && s.list[k-1].total > v.total; k-- {
+		s.list[k] = s.list[k-1]
+	}
+	s.list[k] = v
+}
+
+// draw returns an element of the sample. Other instances, which see the same sums, place
+// unseen flows for each candidate before these sums are renewed. If all instances draw
+// with weights that bring the candidates up to the same level, the flows are spread as if one
+// instance had placed them one after the other.
+func (s *sample) draw(r *Request, random uint64) int {
+	flows := r.Unseen * float64(s.n)
+	// The level of the first k candidates, which the unseen flows raise to it.
+	level, sum, rate := 0.0, 0.0, 0.0
+	k := 0
+	for ; k < s.n; k++ {
+		c := &s.list[k]
+		// A cold server takes no part of the flows that others can bear.
+		if k > 0 && (c.total >= level || c.cold) {
 			break
 		}
+		sum += c.total / c.step
+		rate += 1 / c.step
+		level = (flows + sum) / rate
+	}
+	best, bestOwn := 0, 0.0
+	draws := manyDraws
+	if r.Instances > fewInstances {
+		draws = fewDraws
+	}
+	for try := range draws {
+		at := float64(next(&random)>>11) / (1 << 53) * flows
+		i := 0
+		for ; i < k-1; i++ {
+			if at -= s.list[i].share(level); at < 0 {
+				break
+			}
+		}
+		if own := s.list[i].own / s.list[i].share(level); try == 0 || own < bestOwn {
+			best, bestOwn = i, own
+		}
 	}
 	return best
 }
 
+// share returns the number of flows that raise the candidate to the level.
+func (c *sampled) share(level float64) float64 {
+	return max(1e-6, (level-c.total)/c.step)
+}
+
 // expect returns the time for which a new request waits, and a measure of the time to its
 // answer by which candidates are compared: it counts work also while a slot is free,
 // because the next request may need it.
-func (c *WorkCandidate) expect(r *Request) (wait, total float64) {
+func (c *WorkCandidate) expect(r *Request) (wait, total, step float64) {
 	slots := float64(max(1, c.Slots))
 	slow := c.Slowness
 	if slow == 0 {
@@ -110,9 +215,11 @@
 	idle := max(0, c.Flows+c.OthersFlows-pending)
 	queued := float64(c.Remaining) + float64(c.OthersPending)*float64(r.MeanWork)
 	queued = max(queued, float64(c.Backlog))
+	// Idle flows are compared, but don't make the request wait: what they bring comes later.
+	wait = max(0, queued-(slots-1)*float64(r.MeanWork)) * slow / slots
 	backlog := (queued + float64(idle)*float64(r.IdleWork)) * slow
-	wait = max(0, backlog-(slots-1)*float64(r.MeanWork)*slow) / slots
-	return wait, backlog/slots + float64(r.Work)*slow
+	run := max(1, float64(r.Work)*slow)
+	return wait, backlog/slots + run, run / slots
 }
 
 // next returns a random number derived from state, and advances it (SplitMix64).
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -206,6 +206,8 @@
 	Handshake(took time.Duration)
 	// Answer receives the time from a request to the acknowledgement of its answer.
 	Answer(took time.Duration)
+	// Placed receives how the backend server of a flow was chosen, and its zone.
+	Placed(kind ChoiceKind, zone catkinrail.Zone)
 }
 
 // Engine decides what to do with packets. It isn't safe for concurrent use.
--- a/coordination/token/placement.go
+++ b/coordination/token/placement.go
@@ -13,6 +13,10 @@
 const (
 	// sharedTimeout is the age from which the loads that others reported no longer count.
 	sharedTimeout = time.Second
+	// sumsAge is the age that the sums of the other instances reach: two intervals of
+	// 250 ms at which they are sent, less half of one, since the instances report at
+	// different times.
+	sumsAge = 375 * time.Millisecond
 	// defaultDistance is assumed for a zone without a measured handshake.
 	defaultDistance = 2 * time.Millisecond
 	// maxCosts limits the routes whose cost is learned, at about 15 KB each.
@@ -94,7 +98,6 @@
 	sharedAt int64
 	group    group
 	choices  [numChoiceKinds]uint64
-	spilled  map[catkinrail.Zone]uint64
 }
 
 type costKey struct{ route, service string }
@@ -111,6 +114,11 @@
 	routes []*work.Route
 	// request holds the means over the service's routes.
 	request place.Request
+	// placed is the number of flows placed since the last refresh, at refreshedAt, and rate
+	// those a nanosecond.
+	placed      int
+	rate        float64
+	refreshedAt int64
 }
 
 type zoneIndex struct {
@@ -123,7 +131,7 @@
 func newPlacement() placement {
 	return placement{
 		services: map[string]*serviceIndex{}, costs: map[costKey]*work.Route{},
-		handshakes: map[catkinrail.Zone]time.Duration{}, spilled: map[catkinrail.Zone]uint64{},
+		handshakes: map[catkinrail.Zone]time.Duration{},
 	}
 }
 
@@ -227,10 +235,31 @@
 		}
 	}
 	s.request.MeanWork, s.request.IdleWork = work.Mix(s.routes, place.WorkHorizon)
-	home := place.ZoneState{}
+	if d := now - s.refreshedAt; d > 0 {
+		s.rate += (float64(s.placed)/float64(d) - s.rate) / 2
+		s.placed, s.refreshedAt = 0, now
+	}
+	s.request.Unseen, s.request.Instances = 0, instances
+	if n := len(s.home); n > 0 {
+		s.request.Unseen = s.rate * float64(max(0, instances-1)) / float64(n) * float64(sumsAge)
+	}
+	home, rate := place.ZoneState{}, 0.0
+	others := 0
 	for _, b := range s.home {
+		if b.warmUntil > now {
+			home.Cold = true
+			continue
+		}
+		others += b.others.pending
 		home.Slots += max(1, b.Slots)
+		home.Limit += max(1, b.Slots) + work.QueueLimit
 		home.Pending += b.pending + b.pendingHandshakes + b.others.pending
+		if l := b.others.latency; l > 0 {
+			rate += float64(b.others.pending) / float64(l)
+		}
+	}
+	if rate > 0 {
+		home.Latency = time.Duration(float64(others) / rate)
 	}
 	s.states = s.states[:0]
 	for i := range s.zones {
@@ -253,7 +282,10 @@
 		}
 		s.states = append(s.states, state)
 	}
-	s.spill.Update(home, s.states, instances, now)
+	for _, r := range s.routes {
+		r.SetCrowded(2*home.Pending > home.Slots)
+	}
+	s.spill.Update(home, s.states, instances, s.request.MeanWork, now)
 }
 
 // distance returns the time by which a request to the zone takes longer than one at home.
@@ -288,14 +320,14 @@
 	if i < 0 {
 		return nil
 	}
-	pl.choices[ChoiceOwn]++
-	return list[i]
+	return e.placed(list[i], ChoiceOwn)
 }
 
 // placeByWork returns the backend server for a new flow by the expected work, or nil if it
 // finds none that is neither silent nor suspect.
 func (e *Engine) placeByWork(r *catkinrail.Route, service string, s *serviceIndex, avoid *Backend, now int64) *Backend {
 	pl := &e.placement
+	s.placed++
 	req := s.request
 	req.Work = req.MeanWork
 	if r != nil {
@@ -303,25 +335,30 @@
 			req.Work = c.Mean()
 		}
 	}
-	home := pl.choose(s.home, nil, &req, avoid, e, now)
+	home := pl.choose(s.home, nil, ChoiceWork, &req, avoid, e, now)
 	random := e.rng.Uint64()
-	z, kind := s.spill.Choose(&req, home.Wait, random, now), ChoiceSpilled
+	z, kind := s.spill.Choose(&req, home, random, now), ChoiceSpilled
 	if !home.Reachable {
 		z, kind = s.spill.Anywhere(random), ChoiceAway
 	}
 	if z >= 0 {
 		zone := &s.zones[z]
-		if c := pl.choose(zone.backends, zone, &req, avoid, e, now); c.Reachable {
-			pl.choices[kind]++
-			pl.spilled[zone.zone]++
-			return zone.backends[c.Index]
+		if c := pl.choose(zone.backends, zone, kind, &req, avoid, e, now); c.Reachable {
+			return e.placed(zone.backends[c.Index], kind)
 		}
 	}
 	if !home.Reachable {
 		return nil
 	}
-	pl.choices[ChoiceWork]++
-	return s.home[home.Index]
+	return e.placed(s.home[home.Index], ChoiceWork)
+}
+
+func (e *Engine) placed(b *Backend, kind ChoiceKind) *Backend {
+	e.placement.choices[kind]++
+	if e.observer != nil {
+		e.observer.Placed(kind, b.Zone)
+	}
+	return b
 }
 
 // group is the backend servers of a zone as ChooseByWork reads them.
@@ -329,15 +366,16 @@
 	backends []*Backend
 	// zone is that of the backend servers, or nil for the own one.
 	zone  *zoneIndex
+	kind  ChoiceKind
 	req   *place.Request
 	avoid *Backend
 	e     *Engine
 	now   int64
 }
 
-func (pl *placement) choose(list []*Backend, zone *zoneIndex, req *place.Request, avoid *Backend, e *Engine, now int64) place.Choice {
+func (pl *placement) choose(list []*Backend, zone *zoneIndex, kind ChoiceKind, req *place.Request, avoid *Backend, e *Engine, now int64) place.Choice {
 	// The group is kept in the engine, so that passing it as an interface doesn't allocate.
-	pl.group = group{list, zone, req, avoid, e, now}
+	pl.group = group{list, zone, kind, req, avoid, e, now}
 	return place.ChooseByWork(&pl.group, req, e.rng.Uint64())
 }
 
@@ -348,7 +386,8 @@
 func (g *group) At(i int) place.WorkCandidate {
 	b := g.backends[i]
 	c := place.WorkCandidate{Candidate: b.candidate(g.e.zone, g.now)}
-	c.Draining = c.Draining || b == g.avoid
+	// Nothing spills over to a cold backend server.
+	c.Draining = c.Draining || b == g.avoid || (g.kind == ChoiceSpilled && c.Warmup > 0)
 	mean, others := g.req.MeanWork, b.others
 	if g.zone != nil {
 		// Only the zone's totals are known.
@@ -357,7 +396,9 @@
 	c.OthersPending, c.OthersFlows = others.pending, others.flows
 	c.Remaining = b.work.Remaining(mean, g.now) + time.Duration(b.pendingHandshakes)*mean
 	shared := work.SharedSlowness(others.latency, mean, g.e.placement.handshakes[g.e.zone], float64(others.pending), b.Slots)
-	c.Slowness = b.work.Slowness(shared, g.now)
+	if c.Warmup == 0 {
+		c.Slowness = b.work.Slowness(shared, g.now)
+	}
 	if since, ok := b.work.SinceRejected(g.now); ok {
 		c.Backlog = time.Duration(work.QueueLimit+b.Slots)*mean - since*time.Duration(max(1, b.Slots))
 	}
@@ -376,10 +417,6 @@
 // Choices returns the number of flows placed by kind of choice.
 func (e *Engine) Choices() [numChoiceKinds]uint64 { return e.placement.choices }
 
-// Spilled returns the number of flows placed in other zones by expected work, by zone. The
-// map must not be changed or kept.
-func (e *Engine) Spilled() map[catkinrail.Zone]uint64 { return e.placement.spilled }
-
 // flowCost is what a flow contributes to the cost of its route. Without a route nothing is
 // learned from it.
 type flowCost struct {
@@ -432,6 +469,7 @@
 	f.route.AddIdle(1, now)
 	f.backend.work.End(f.route, work.Answer{
 		Began: f.begunAt, SentAt: f.requestedAt, RoundTrip: f.roundTrip, Queue: f.queue, Slots: f.backend.Slots,
+		Cold: f.backend.warmUntil > f.begunAt,
 	}, now)
 }
 
@@ -453,3 +491,16 @@
 	}
 	f.route.AddIdle(-1, f.lastSeen)
 }
+
+// Observed returns the load that this instance observes on an incarnation, to be reported to
+// the others; false if there is no such incarnation. The latency is the mean time of
+// requests in the last seconds, zero if there were none; rejected requests don't count.
+func (e *Engine) Observed(t catkinrail.Token, now int64) (message.ServerLoad, bool) {
+	b := e.tokens[t]
+	if b == nil {
+		return message.ServerLoad{}, false
+	}
+	return message.ServerLoad{
+		Token: t, StartedAt: b.StartedAt, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.work.Latency(now),
+	}, true
+}
--- a/coordination/work/server.go
+++ b/coordination/work/server.go
@@ -12,11 +12,17 @@
 	maxOwn = 4
 	// speedMemory is the time constant with which answers decay in the speed.
 	speedMemory = 2 * time.Second
+	// latencyMemory is the time constant with which answers decay in the latency that is
+	// reported, and minAnswers the decayed number of them from which it counts as known.
+	latencyMemory = time.Second
+	minAnswers    = 0.1
 	// priorWeight is the weight of the expectation that a server is as fast as the others,
 	// in answers.
 	priorWeight = 2
 	// sharedWeight is the weight of the latency that other instances report, in answers.
 	sharedWeight = 4
+	// maxLog limits what a single answer shows, as the logarithm of a factor.
+	maxLog = 2
 	// maxSlowness limits the factor to either side.
 	maxSlowness = 20
 	// slowServer is the slowness from which a server's answers aren't samples of the work
@@ -36,6 +42,10 @@
 	logs, weight float64
 	answeredAt   int64
 	rejectedAt   int64
+	// times is the decayed sum of the times of requests, round trips included, and answers
+	// their decayed number.
+	times, answers float64
+	timedAt        int64
 }
 
 type pending struct {
@@ -74,6 +84,8 @@
 	// Queue is the number of requests that the server had before this one, and Slots the
 	// number that it runs.
 	Queue, Slots int
+	// Cold is set while the server warms up: its times show nothing of its later speed.
+	Cold bool
 }
 
 // End records the answer to a request. It returns false if the answer came so fast that
@@ -83,22 +95,38 @@
 	took := max(resolution, time.Duration(now-a.SentAt)-a.RoundTrip)
 	r.requests++
 	slots := max(1, a.Slots)
-	if r.Known() && a.Queue >= slots && took < r.fastest/4 {
+	if r.rejected(took, a.Queue >= slots) {
 		s.rejectedAt = now
 		return false
 	}
-	if a.Queue < slots && r.accepts(s.Slowness(0, now)) {
+	if a.Cold {
+		return true
+	}
+	keep := math.Exp(-float64(now-s.timedAt) / float64(latencyMemory))
+	s.times, s.answers, s.timedAt = s.times*keep+float64(now-a.SentAt), s.answers*keep+1, now
+	if a.Queue < slots && !r.crowded && r.accepts(s.Slowness(0, now)) {
 		r.record(took, now)
 	}
 	if !r.Known() {
 		return true
 	}
 	s.decay(now)
-	s.logs += math.Log(float64(took)/queueFactor(a.Queue, slots)) - r.logMean
+	l := math.Log(float64(took)/queueFactor(a.Queue, slots)) - r.logMean
+	s.logs += min(max(l, -maxLog), maxLog)
 	s.weight++
 	return true
 }
 
+// rejected reports whether a request that was answered after the given time must have been
+// rejected: rejections take no work. They are told from work by the time alone, and more
+// easily while the server is known to be busy.
+func (r *Route) rejected(took time.Duration, busy bool) bool {
+	if !r.Known() {
+		return busy && took < defaultWork/16
+	}
+	return took < r.fastest/4 || (busy && took < r.median/8)
+}
+
 // accepts reports whether answers of a server with the given slowness are samples of the
 // route's work. If most servers are slow, the expectation is wrong instead.
 func (r *Route) accepts(slowness float64) bool {
@@ -156,6 +184,26 @@
 	return sum + time.Duration(s.pending-n)*mean
 }
 
+// Latency returns the mean time of the latest requests, rejected ones excluded; zero if
+// there were none in the last seconds. Pending requests count once they have taken longer.
+func (s *Server) Latency(now int64) time.Duration {
+	keep := math.Exp(-float64(now-s.timedAt) / float64(latencyMemory))
+	times, answers := s.times*keep, s.answers*keep
+	if answers < minAnswers {
+		times, answers = 0, 0
+	}
+	for i := range s.own {
+		if age := float64(now - s.own[i].at); s.own[i].route != nil && age*answers >= times {
+			times += age
+			answers++
+		}
+	}
+	if answers == 0 {
+		return 0
+	}
+	return time.Duration(times / answers)
+}
+
 // SinceRejected returns the time since the server last rejected a request, as far as this
 // instance noticed.
 func (s *Server) SinceRejected(now int64) (time.Duration, bool) {
--- a/coordination/work/work.go
+++ b/coordination/work/work.go
@@ -62,6 +62,8 @@
 	mean        time.Duration
 	logMean     float64
 	fastest     time.Duration
+	median      time.Duration
+	crowded     bool
 	remainders  [numAges]time.Duration
 	skipped     float64
 	idleFlows   int
@@ -142,6 +144,9 @@
 	}
 }
 
+// SetCrowded sets whether most requests may have to wait, so that none is a sample.
+func (r *Route) SetCrowded(on bool) { r.crowded = on }
+
 // Refresh brings the expectations up to date and lets old samples decay. It should be
 // called a few times a second.
 func (r *Route) Refresh(now int64) {
@@ -181,6 +186,7 @@
 	}
 	r.mean, r.logMean = time.Duration(sum/n), logs/n
 	r.fastest = time.Duration(h.ValueAtQuantile(2)) * resolution
+	r.median = time.Duration(h.ValueAtQuantile(50)) * resolution
 	for k := range r.remainders {
 		age := float64(r.mean) * float64(k) / agesPerMean
 		left, count := 0.0, 0.0
--- a/entry/packet/worker.go
+++ b/entry/packet/worker.go
@@ -97,9 +97,7 @@
 		arena: make([]byte, 0, arenaSize), queue: egress.New(), linkStats: newLinkStats(reg),
 	}
 	r.Do(func(e *token.Engine, _ int64) {
-		e.SetObserver(&observer{
-			handshake: metricspage.Histogram("handshake", reg), answer: metricspage.Histogram("answer", reg),
-		})
+		e.SetObserver(newObserver(reg))
 	})
 	for _, reason := range token.Reasons() {
 		w.reasons = append(w.reasons, metrics.GetOrRegisterCounter("packets-"+reason.String(), reg))
@@ -110,6 +108,35 @@
 // observer records the engine's observations in histograms.
 type observer struct {
 	handshake, answer metrics.Histogram
+	choices           []metrics.Counter
+	reg               metrics.Registry
+	// spilled counts the flows placed in other zones by expected work, by zone.
+	spilled map[catkinrail.Zone]metrics.Counter
+}
+
+func newObserver(reg metrics.Registry) *observer {
+	o := &observer{
+		handshake: metricspage.Histogram("handshake", reg), answer: metricspage.Histogram("answer", reg),
+		reg: reg, spilled: map[catkinrail.Zone]metrics.Counter{},
+	}
+	for _, kind := range token.ChoiceKinds() {
+		o.choices = append(o.choices, metrics.GetOrRegisterCounter("placed-"+kind.String(), reg))
+	}
+	return o
+}
+
+// Placed implements token.Observer.
+func (o *observer) Placed(kind token.ChoiceKind, zone catkinrail.Zone) {
+	o.choices[kind].Inc(1)
+	if kind < token.ChoiceSpilled {
+		return
+	}
+	c := o.spilled[zone]
+	if c == nil {
+		c = metrics.GetOrRegisterCounter("spilled-"+string(zone), o.reg)
+		o.spilled[zone] = c
+	}
+	c.Inc(1)
 }
 
 // Handshake implements token.Observer.
