--- a/coordination/token/load.go
+++ b/coordination/token/load.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		r.Servers = append(r.Servers, message.ServerLoad{
-			Server: b.loadKey, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.latency,
+			Server: b.loadKey, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.work.Latency(now),
 		})
 	}
 	if len(r.Servers) == 0 && !e.loads.reported {
