--- a/coordination/token/placement_test.go
+++ b/coordination/token/placement_test.go
@@ -168,3 +168,6 @@
 		})
 	}
 }
+
+// Placed implements token.Observer.
+func (*answers) Placed(token.ChoiceKind, catkinrail.Zone) {}
