--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/fake"
 	"catkinrail.example/catkinrail/logs"
@@ -48,7 +49,7 @@
 
 // exchange sends a's next message, if any, to b and applies the reply.
 func (p *pair) exchange() {
-	g, at, _ := p.a.composeMessage(p.link)
+	g, at, _ := p.a.nextMessage(p.link)
 	if g == nil {
 		return
 	}
@@ -318,3 +319,40 @@
 	alone.peersKnown = true
 	require.True(t, alone.Complete())
 }
+
+// fakeLoads are loads in memory.
+type fakeLoads struct {
+	next   *message.LoadShare
+	merged []*message.LoadShare
+}
+
+func (f *fakeLoads) Share(string, string) *message.LoadShare { return f.next }
+
+func (f *fakeLoads) Merge(m *message.LoadShare) { f.merged = append(f.merged, m) }
+
+// TestLoadsTravelWithRenewals guards against loads that are sent with every change of the
+// directory or not at all, and against a message with nothing but load that makes the next
+// one repeat the directory.
+func TestLoadsTravelWithRenewals(t *testing.T) {
+	p := newPair(t)
+	from, to := &fakeLoads{}, &fakeLoads{}
+	p.a.ExchangeLoads(from)
+	p.b.ExchangeLoads(to)
+	p.exchange()
+	require.Empty(t, to.merged, "no load")
+	p.clock.now = p.clock.now.Add(renewalInterval)
+	from.next = &message.LoadShare{From: "a", Sequence: 1}
+	p.exchange()
+	require.Len(t, to.merged, 1)
+	revision := p.link.sentRevision
+	p.clock.now = p.clock.now.Add(10 * time.Millisecond)
+	p.a.Report(&catkinrail.Incarnation{Name: "s1", Identity: 1, StartedAt: 1, Sequence: 1})
+	p.exchange()
+	require.Len(t, to.merged, 1, "not due")
+	require.Greater(t, p.link.sentRevision, revision)
+	revision = p.link.sentRevision
+	p.clock.now = p.clock.now.Add(renewalInterval)
+	p.exchange()
+	require.Len(t, to.merged, 2)
+	require.Equal(t, revision, p.link.sentRevision)
+}
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -106,13 +106,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		g, revision, changed := d.composeMessage(p)
-		if l := d.shareLoad(p); l != nil {
-			if g == nil {
-				g = &message.Gossip{}
-			}
-			g.Load = l
-		}
+		g, revision, changed := d.nextMessage(p)
 		if g != nil {
 			d.recordResult(p, revision, d.call(ctx, client, p, g))
 		}
@@ -127,6 +121,19 @@
 	return nil
 }
 
+// nextMessage returns the next message to a peer, with the load if that is due, or nil if
+// there is nothing to send, and the other results of composeMessage.
+func (d *Directory) nextMessage(p *peer) (*message.Gossip, uint64, <-chan struct{}) {
+	g, revision, changed := d.composeMessage(p)
+	if l := d.shareLoad(p); l != nil {
+		if g == nil {
+			g = &message.Gossip{}
+		}
+		g.Load = l
+	}
+	return g, revision, changed
+}
+
 // composeMessage returns a message with what the peer hasn't received yet, or nil if
 // there is nothing to send, the revision that the message brings the peer to, and a
 // channel that is closed at the next change.
--- a/coordination/load/view.go
+++ b/coordination/load/view.go
@@ -41,7 +41,9 @@
 	v.next = (v.next + 1) % maxSent
 	s.sequence, s.at = r.Sequence, now
 	s.servers = append(s.servers[:0], r.Servers...)
-	slices.SortFunc(s.servers, compareLoads)
+	if !slices.IsSortedFunc(s.servers, compareLoads) {
+		slices.SortFunc(s.servers, compareLoads)
+	}
 }
 
 // Known returns the point that the next report states.
