place: let instances report at different times in the replays

Cause: instances that report together herd together, which the product's clients avoid.

Change: reports are spread over the interval.

--- a/coordination/place/hardload_test.go
+++ b/coordination/place/hardload_test.go
@@ -51,11 +51,12 @@
 	}
 	s.follow(nil)
 	if shared {
-		reports := make([]message.LoadReport, len(s.engines))
-		for i := range reports {
-			reports[i] = message.LoadReport{Name: fmt.Sprint("entry-", i), Zone: zoneName(i / s.entries), Process: uint64(i + 1)}
+		table := load.NewTable("control", 1)
+		for i, e := range s.engines {
+			r := &message.LoadReport{Name: fmt.Sprint("entry-", i), Zone: zoneName(i / s.entries), Process: uint64(i + 1)}
+			// Instances report at different times.
+			s.at(shareInterval*time.Duration(i)/time.Duration(len(s.engines)), func() { s.share(e, r, table) })
 		}
-		s.share(load.NewTable("control", 1), reports)
 	}
 	s.tick()
 }
@@ -95,10 +96,9 @@
 	s.at(s.now+20*time.Millisecond, func() { s.follow(sent) })
 }
 
-// share makes the engines report their loads to a table and applies the replies shareDelay
-// later.
-func (s *simulation) share(table *load.Table, reports []message.LoadReport) {
-	now := int64(s.now)
+// share makes an engine report its load to a table at an interval, and applies the replies
+// shareDelay later.
+func (s *simulation) share(e *token.Engine, r *message.LoadReport, table *load.Table) {
 	for i, b := range s.servers {
 		server := load.Server{Key: message.NewServerKey(catkinrail.Token(i+1), 1), Zone: zoneName(b.zone), Service: "logbook", Slots: s.slots}
 		if s.reported(b.drainAt, updateDelay) || s.reported(b.failAt, silentDelay) {
@@ -106,14 +106,11 @@
 		}
 		table.SetServer(server)
 	}
-	for i, e := range s.engines {
-		if !e.LoadReport(&reports[i], now) {
-			continue
-		}
-		reply := table.Report(&reports[i], now)
+	if e.LoadReport(r, int64(s.now)) {
+		reply := table.Report(r, int64(s.now))
 		s.at(s.now+shareDelay, func() { e.ApplyLoad(reply, int64(s.now)) })
 	}
-	s.at(s.now+shareInterval, func() { s.share(table, reports) })
+	s.at(s.now+shareInterval, func() { s.share(e, r, table) })
 }
 
 // open sends a flow's opening packet or a copy of it.
