control: share the loopback cluster between tests; evacuations among random table changes

Cause: control/document and control/evacuation started the same cluster with a copy of the code, and a property test of evacuations in coordination/plan repeated much of TestTableChanges.

Change: control/controltest starts the cluster. TestTableChanges draws evacuations, ejections and a second zone too, and checks that no backend server of an evacuated zone is active; the separate property test is gone, since it checked only that.

--- a/control/document/store_test.go
+++ b/control/document/store_test.go
@@ -2,86 +2,33 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sync/errgroup"
-	"storj.io/drpc/drpcmux"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/control/core"
+	"catkinrail.example/catkinrail/control/controltest"
 	"catkinrail.example/catkinrail/control/document"
-	"catkinrail.example/catkinrail/control/entry"
-	"catkinrail.example/catkinrail/control/follow"
-	"catkinrail.example/catkinrail/control/gossip"
-	"catkinrail.example/catkinrail/control/load"
-	"catkinrail.example/catkinrail/control/voter"
 	"catkinrail.example/catkinrail/coordination/quorum"
-	"catkinrail.example/catkinrail/fake"
-	"catkinrail.example/catkinrail/logs"
-	"catkinrail.example/catkinrail/protocol/control"
-	"catkinrail.example/catkinrail/state/journal"
 	"catkinrail.example/catkinrail/transport/clock"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
 
-// instance is a control instance that listens on the loopback address.
+// instance is a control instance with a store.
 type instance struct {
-	store  *document.Store
-	cancel context.CancelFunc
-	group  errgroup.Group
+	*controltest.Instance
+	store *document.Store
 }
 
-// stop stops the instance and waits until it answers no more calls.
-func (in *instance) stop(t *testing.T) {
+// startInstances starts a cluster of n instances.
+func startInstances(t *testing.T, n int) (list []*instance) {
 	t.Helper()
-	in.cancel()
-	require.NoError(t, in.group.Wait())
-}
-
-// startInstances starts a cluster of n instances with in-memory disks.
-func startInstances(t *testing.T, n int) []*instance {
-	t.Helper()
-	clk := clock.New()
-	members := quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{}}
-	var listeners []net.Listener
-	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		listeners = append(listeners, l)
-		members.Nodes[quorum.NodeID(i+1)] = quorum.Peer{Name: l.Addr().String(), Addr: l.Addr().String()}
+	for _, in := range controltest.Start(t, n, quorum.AllFeatures) {
+		store := document.New(in.Core, rpc.NewPool(nil), clock.New(), metrics.NewRegistry())
+		list = append(list, &instance{in, store})
 	}
-	var list []*instance
-	for i, l := range listeners {
-		ctx, cancel := context.WithCancel(context.Background())
-		in := &instance{cancel: cancel}
-		j, stored, err := journal.Open(fake.NewDisk())
-		require.NoError(t, err)
-		stored.Snapshot.Members = members
-		require.NoError(t, j.SaveSnapshot(&stored.Snapshot, nil))
-		timing := quorum.DefaultTiming
-		timing.NoLease = true
-		c, err := core.New(core.Config{
-			ID: quorum.NodeID(i + 1), Name: l.Addr().String(), Timing: timing, Lease: time.Second, Seed: uint64(i),
-			Clock: clk, Log: logs.Discard(), Journal: j, Stored: stored, Send: voter.New(ctx, &in.group, nil, logs.Discard(), clk).Send,
-		})
-		require.NoError(t, err)
-		dir := gossip.New(gossip.Config{Clock: clk, Log: logs.Discard(), SilentAfter: time.Minute})
-		mux := drpcmux.New()
-		require.NoError(t, control.DRPCRegisterControl(mux, entry.New(c, dir, follow.New(c, dir, clk, logs.Discard()), load.New())))
-		in.group.Go(func() error { return rpc.Serve(ctx, l, mux) })
-		c.Start(ctx, &in.group)
-		in.store = document.New(c, rpc.NewPool(nil), clk, metrics.NewRegistry())
-		list = append(list, in)
-	}
-	t.Cleanup(func() {
-		for _, in := range list {
-			in.stop(t)
-		}
-	})
 	return list
 }
 
@@ -115,8 +62,8 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	require.NoError(t, list[0].store.PutDocument(ctx, &catkinrail.Document{Version: 1}))
-	list[1].stop(t)
-	list[2].stop(t)
+	list[1].Stop(t)
+	list[2].Stop(t)
 	short, stop := context.WithTimeout(ctx, 300*time.Millisecond)
 	defer stop()
 	_, err := list[0].store.CurrentDocument(short)
--- a/control/evacuation/store_test.go
+++ b/control/evacuation/store_test.go
@@ -3,92 +3,34 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sync/errgroup"
-	"storj.io/drpc/drpcmux"
 
 	"catkinrail.example/catkinrail"
-	"catkinrail.example/catkinrail/control/core"
-	"catkinrail.example/catkinrail/control/entry"
+	"catkinrail.example/catkinrail/control/controltest"
 	"catkinrail.example/catkinrail/control/evacuation"
-	"catkinrail.example/catkinrail/control/follow"
-	"catkinrail.example/catkinrail/control/gossip"
-	"catkinrail.example/catkinrail/control/load"
-	"catkinrail.example/catkinrail/control/voter"
 	"catkinrail.example/catkinrail/coordination/quorum"
-	"catkinrail.example/catkinrail/fake"
-	"catkinrail.example/catkinrail/logs"
-	"catkinrail.example/catkinrail/protocol/control"
-	"catkinrail.example/catkinrail/state/journal"
 	"catkinrail.example/catkinrail/transport/clock"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
 
-// instance is a control instance that listens on the loopback address.
+// instance is a control instance with a store.
 type instance struct {
-	core   *core.Core
-	store  *evacuation.Store
-	dir    *gossip.Directory
-	cancel context.CancelFunc
-	group  errgroup.Group
+	*controltest.Instance
+	store *evacuation.Store
 }
 
-// stop stops the instance and waits until it answers no more calls.
-func (in *instance) stop(t *testing.T) {
+// startInstances starts a cluster of n instances with the settings' zones a and b.
+func startInstances(t *testing.T, n int, features quorum.Features) (list []*instance) {
 	t.Helper()
-	in.cancel()
-	require.NoError(t, in.group.Wait())
-}
-
-// startInstances starts a cluster of n instances with in-memory disks, the settings' zones a
-// and b, and the given features.
-func startInstances(t *testing.T, n int, features quorum.Features) []*instance {
-	t.Helper()
-	clk := clock.New()
-	members := quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{}}
-	var listeners []net.Listener
-	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		listeners = append(listeners, l)
-		members.Nodes[quorum.NodeID(i+1)] = quorum.Peer{Name: l.Addr().String(), Addr: l.Addr().String(), Features: features}
+	for _, in := range controltest.Start(t, n, features) {
+		zones := evacuation.NewZones(in.Core, []catkinrail.Zone{"a", "b"}, in.Dir, in.Streams)
+		list = append(list, &instance{in, evacuation.New(in.Core, rpc.NewPool(nil), zones, clock.New(), metrics.NewRegistry())})
 	}
-	var list []*instance
-	for i, l := range listeners {
-		ctx, cancel := context.WithCancel(context.Background())
-		in := &instance{cancel: cancel}
-		j, stored, err := journal.Open(fake.NewDisk())
-		require.NoError(t, err)
-		stored.Snapshot.Members = members
-		require.NoError(t, j.SaveSnapshot(&stored.Snapshot, nil))
-		timing := quorum.DefaultTiming
-		timing.NoLease = true
-		in.core, err = core.New(core.Config{
-			ID: quorum.NodeID(i + 1), Name: l.Addr().String(), Timing: timing, Lease: time.Second, Seed: uint64(i),
-			Clock: clk, Log: logs.Discard(), Journal: j, Stored: stored, Send: voter.New(ctx, &in.group, nil, logs.Discard(), clk).Send,
-		})
-		require.NoError(t, err)
-		in.dir = gossip.New(gossip.Config{Clock: clk, Log: logs.Discard(), SilentAfter: time.Minute})
-		streams := follow.New(in.core, in.dir, clk, logs.Discard())
-		mux := drpcmux.New()
-		require.NoError(t, control.DRPCRegisterControl(mux, entry.New(in.core, in.dir, streams, load.New())))
-		in.group.Go(func() error { return rpc.Serve(ctx, l, mux) })
-		in.core.Start(ctx, &in.group)
-		zones := evacuation.NewZones(in.core, []catkinrail.Zone{"a", "b"}, in.dir, streams)
-		in.store = evacuation.New(in.core, rpc.NewPool(nil), zones, clk, metrics.NewRegistry())
-		list = append(list, in)
-	}
-	t.Cleanup(func() {
-		for _, in := range list {
-			in.stop(t)
-		}
-	})
 	return list
 }
 
@@ -115,7 +57,7 @@
 		require.NoError(t, set(ctx, in, "b", true), "all zones")
 		for _, other := range list {
 			require.Eventually(t, func() bool {
-				e := other.core.Published().Evacuations
+				e := other.Core.Published().Evacuations
 				return e != nil && len(e.Zones) == 2
 			}, 10*time.Second, time.Millisecond)
 		}
@@ -127,11 +69,11 @@
 	for _, zone := range []catkinrail.Zone{"", "c"} {
 		require.ErrorAs(t, in.store.SetEvacuated(ctx, zone, true), &field)
 	}
-	in.dir.Report(&catkinrail.Incarnation{
+	in.Dir.Report(&catkinrail.Incarnation{
 		Name: "i-1", Identity: 1, StartedAt: 1, Sequence: 1, Service: "logbook", Zone: "c", Addr: netip.MustParseAddrPort("10.0.0.1:80"),
 	})
 	require.NoError(t, set(ctx, in, "c", true), "a zone of a backend server")
-	in.dir.Leave("i-1", 1)
+	in.Dir.Leave("i-1", 1)
 	require.NoError(t, set(ctx, in, "c", false), "an evacuated zone whose backend servers have ended")
 }
 
@@ -153,12 +95,12 @@
 			defer cancel()
 			require.NoError(t, set(ctx, list[0], "a", false), "there is a leader")
 			for _, in := range list[1 : 1+tt.stopped] {
-				in.stop(t)
+				in.Stop(t)
 			}
 			short, stop := context.WithTimeout(ctx, 300*time.Millisecond)
 			defer stop()
 			require.ErrorIs(t, list[0].store.SetEvacuated(short, "a", true), catkinrail.ErrUnavailable)
-			require.Nil(t, list[0].core.Published().Evacuations)
+			require.Nil(t, list[0].Core.Published().Evacuations)
 		})
 	}
 }
--- a/coordination/plan/evacuation_test.go
+++ b/coordination/plan/evacuation_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"pgregory.net/rapid"
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/plan"
@@ -125,43 +124,3 @@
 	_, err = evacuate("e1", "a", false)
 	require.ErrorIs(t, err, plan.ErrRequestReused)
 }
-
-// TestNoActiveBackendInEvacuatedZone checks, over random changes, that no backend server takes
-// part in the assignment of buckets while its zone is evacuated.
-func TestNoActiveBackendInEvacuatedZone(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		h := newHarness(t)
-		h.register("entry-1", "a")
-		zone := rapid.SampledFrom([]catkinrail.Zone{"a", "b"})
-		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			i := rapid.IntRange(0, 3).Draw(t, "host")
-			name := fmt.Sprint("host-", i)
-			b := h.state.BackendByName(h.service().ID, name)
-			ref := &plan.BackendRef{Service: logbook, Name: name}
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
-			case 0:
-				if b != nil {
-					h.command(&plan.Command{Drain: ref})
-				}
-			case 1:
-				if b != nil {
-					h.command(&plan.Command{Readmit: ref})
-				}
-			case 2:
-				h.evacuate(zone.Draw(t, "zone"), rapid.Bool().Draw(t, "evacuated"))
-			case 3:
-				if b != nil {
-					h.apply(plan.Eject(h.state, []catkinrail.BackendID{b.ID}, nil))
-					h.apply(plan.Eject(h.state, nil, []catkinrail.BackendID{b.ID}))
-				}
-			case 4:
-				h.run(time.Second)
-			default:
-				h.announceIn([]catkinrail.Zone{"a", "b"}[i%2], name, rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Bool().Draw(t, "draining"))
-			}
-			for _, b := range h.state.Backends {
-				require.False(t, b.State == catkinrail.BackendActive && h.state.Evacuated(b.Zone), b.Name)
-			}
-		}
-	})
-}
--- a/coordination/plan/plan_test.go
+++ b/coordination/plan/plan_test.go
@@ -106,8 +106,8 @@
 	return h.state.ServiceByName(logbook)
 }
 
-// TestTableChanges checks, over random changes, that every table is balanced and that
-// a bucket only takes steps that break no flow.
+// TestTableChanges checks, over random changes, that every table is balanced, that a bucket only
+// takes steps that break no flow, and that no backend server of an evacuated zone is active.
 func TestTableChanges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarness(t)
@@ -122,7 +122,7 @@
 			name := fmt.Sprint("host-", rapid.IntRange(0, 6).Draw(t, "host"))
 			known := h.state.BackendByName(h.service().ID, name) != nil
 			ref := &plan.BackendRef{Service: logbook, Name: name}
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0:
 				if known {
 					h.command(&plan.Command{Drain: ref})
@@ -136,9 +136,22 @@
 				h.announce(announcement(name, 2, incarnation))
 			case 3:
 				h.run(time.Duration(rapid.IntRange(100, 4000).Draw(t, "millis")) * time.Millisecond)
+			case 4:
+				h.evacuate(rapid.SampledFrom([]catkinrail.Zone{"kochi", "b"}).Draw(t, "zone"), rapid.Bool().Draw(t, "evacuated"))
+			case 5:
+				if known {
+					id := h.state.BackendByName(h.service().ID, name).ID
+					h.apply(plan.Eject(h.state, []catkinrail.BackendID{id}, nil))
+					h.apply(plan.Eject(h.state, nil, []catkinrail.BackendID{id}))
+				}
+			case 6:
+				h.announceIn("b", fmt.Sprintf("other-%c", name[len(name)-1]-'0'+'a'), 1, rapid.Bool().Draw(t, "draining"))
 			default:
 				h.announce(announcement(name, 2, 1))
 			}
+			for _, b := range h.state.Backends {
+				require.False(t, b.State == catkinrail.BackendActive && h.state.Evacuated(b.Zone), b.Name)
+			}
 			checkSteps(t, h.state, before, h.service().Buckets)
 			checkBalance(t, h.state, h.service())
 		}
