evacuation: don't call a zone unknown from a state that is behind

Change: before a zone with a name counts as unknown, the instance reads through a majority and looks again; without a majority the answer is ErrUnavailable. The leader's own check for EvacuateZone looks at the applied state.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -235,7 +235,7 @@
 		dir.Start(ctx)
 		clients := rpc.NewPool(d.creds)
 		documents := document.New(c, clients, clk, reg)
-		evacuations := evacuation.New(c, clients, zones, clk, reg)
+		evacuations := evacuation.New(c, clients, zones, documents, clk, reg)
 		h := platform.ControlHandler(dir, documents, evacuations, clk, d.log)
 		g.Go(func() error { return metricspage.ServeHTTP(ctx, d.cfg.Public, h) })
 	}
--- a/control/evacuation/store.go
+++ b/control/evacuation/store.go
@@ -37,16 +37,23 @@
 	core    *core.Core
 	clients *rpc.Pool
 	zones   *Zones
-	clock   catkinrail.Clock
+	// documents brings this instance up to date: after a read it has applied what was
+	// committed before.
+	documents catkinrail.DocumentStore
+	clock     catkinrail.Clock
 	// orders records the durations of orders, in nanoseconds.
 	orders metrics.Histogram
 }
 
 var _ catkinrail.EvacuationStore = (*Store)(nil)
 
-// New returns a store on top of the core that accepts orders for the given zones.
-func New(c *core.Core, clients *rpc.Pool, zones *Zones, clock catkinrail.Clock, reg metrics.Registry) *Store {
-	return &Store{core: c, clients: clients, zones: zones, clock: clock, orders: metricspage.Histogram("evacuation-order", reg)}
+// New returns a store on top of the core that accepts orders for the given zones. It reads
+// documents to bring this instance up to date.
+func New(c *core.Core, clients *rpc.Pool, zones *Zones, documents catkinrail.DocumentStore, clock catkinrail.Clock, reg metrics.Registry) *Store {
+	return &Store{
+		core: c, clients: clients, zones: zones, documents: documents, clock: clock,
+		orders: metricspage.Histogram("evacuation-order", reg),
+	}
 }
 
 // SetEvacuated implements catkinrail.EvacuationStore. It retries until ctx ends, which is
@@ -54,11 +61,11 @@
 // the order was received.
 func (s *Store) SetEvacuated(ctx context.Context, zone catkinrail.Zone, evacuated bool) error {
 	began := s.clock.Now()
-	if err := s.zones.Check(zone); err != nil {
+	o := &plan.EvacuationOrder{Zone: zone, Evacuated: evacuated, Since: since(s.core.Published())}
+	if err := s.checkZone(ctx, zone); err != nil {
 		return err
 	}
 	defer func() { s.orders.Update(int64(s.clock.Now().Sub(began))) }()
-	o := &plan.EvacuationOrder{Zone: zone, Evacuated: evacuated, Since: since(s.core.Published())}
 	var lastErr error
 	for {
 		advanced := s.core.Advanced()
@@ -78,6 +85,19 @@
 	}
 }
 
+// checkZone returns an error if the zone isn't known. Before it says so of a zone with a name, it
+// brings this instance up to date: the zone may have been evacuated, and its backend servers ended,
+// since.
+func (s *Store) checkZone(ctx context.Context, zone catkinrail.Zone) error {
+	if err := s.zones.Check(zone); err == nil || zone == "" {
+		return err
+	}
+	if _, err := s.documents.CurrentDocument(ctx); err != nil {
+		return err
+	}
+	return s.zones.Check(zone)
+}
+
 // since returns the version of the last change of the evacuations in a published state.
 // No zone's evacuation has changed later than that.
 func since(state *core.PublishedState) uint64 {
--- a/control/evacuation/store_test.go
+++ b/control/evacuation/store_test.go
@@ -12,6 +12,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/controltest"
+	"catkinrail.example/catkinrail/control/document"
 	"catkinrail.example/catkinrail/control/evacuation"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/transport/clock"
@@ -29,7 +30,8 @@
 	t.Helper()
 	for _, in := range controltest.Start(t, n, features) {
 		zones := evacuation.NewZones(in.Core, []catkinrail.Zone{"a", "b"}, in.Dir, in.Streams)
-		list = append(list, &instance{in, evacuation.New(in.Core, rpc.NewPool(nil), zones, clock.New(), metrics.NewRegistry())})
+		documents := document.New(in.Core, rpc.NewPool(nil), clock.New(), metrics.NewRegistry())
+		list = append(list, &instance{in, evacuation.New(in.Core, rpc.NewPool(nil), zones, documents, clock.New(), metrics.NewRegistry())})
 	}
 	return list
 }
--- a/control/operator/server.go
+++ b/control/operator/server.go
@@ -228,7 +228,7 @@
 		return nil
 	}
 	return errors.Join(s.core.Local(ctx, func(state *cluster.State, status *core.Status) {
-		if !status.Leading || state.HasZone(zone) || state.FindAnswer(request) != nil {
+		if !status.Leading || state.HasZone(zone) || state.Evacuated(zone) || state.FindAnswer(request) != nil {
 			unknown = nil
 		}
 	}), unknown)
