--- a/control/warmup/server_test.go
+++ b/control/warmup/server_test.go
@@ -79,25 +79,25 @@
 		change func(f *fakeSystem, s *warmup.Server)
 		lends  bool
 	}{
-		{"a cold backend server", limits, func(f *fakeSystem, _ *warmup.Server) { f.report(5*time.Second) }, true},
+		{"a cold backend server", limits, func(f *fakeSystem, _ *warmup.Server) { f.report(5 * time.Second) }, true},
 		{"cold by the document alone", limits, func(f *fakeSystem, _ *warmup.Server) { f.report(0) }, true},
-		{"no limit in the document", nil, func(f *fakeSystem, _ *warmup.Server) { f.report(5*time.Second) }, false},
+		{"no limit in the document", nil, func(f *fakeSystem, _ *warmup.Server) { f.report(5 * time.Second) }, false},
 		{"warm again", limits, func(f *fakeSystem, s *warmup.Server) {
-			f.report(5*time.Second)
+			f.report(5 * time.Second)
 			f.wait(s, 12*time.Second)
 		}, false},
 		{"gone", limits, func(f *fakeSystem, s *warmup.Server) {
-			f.report(5*time.Second)
+			f.report(5 * time.Second)
 			f.wait(s, time.Second)
 			f.dir.Leave("b-7", 0, f.now.UnixNano())
 		}, false},
 		{"out of contact", limits, func(f *fakeSystem, s *warmup.Server) {
-			f.report(5*time.Second)
+			f.report(5 * time.Second)
 			f.outOfContact = f.now
 			f.wait(s, 2*time.Second)
 		}, false},
 		{"no longer the first voter", limits, func(f *fakeSystem, _ *warmup.Server) {
-			f.report(5*time.Second)
+			f.report(5 * time.Second)
 			f.published.Members = &quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{2: {Name: "c1", Zone: "a"}, 3: {Name: "c0", Zone: "a"}}}
 		}, false},
 	}
