--- a/coordination/place/spill.go
+++ b/coordination/place/spill.go
@@ -57,7 +57,7 @@
 }
 
 // Update takes in the news of the home zone and the others. Instances is the number of entry
-// instances in the home zone. The order of the zones must stay the same; Reset changes it.
+// instances in the home zone. The order of the zones must stay the same.
 func (s *Spill) Update(home ZoneState, zones []ZoneState, instances int, mean time.Duration, now int64) {
 	if len(s.zones) != len(zones) {
 		s.zones = make([]spillZone, len(zones))
@@ -76,9 +76,9 @@
 		z.ZoneState = zones[i]
 		room := 0.0
 		if z.Usable && (home.Cold || 100*home.Pending > crowdedUse*home.Slots) {
-			// What the zone's own instances and other zones need: all but the part of this
-			// zone, whose instances all send about as much as this one. Half of the rest is
-			// taken, so that two zones that see the same room at first don't overfill it.
+			// What the zone's own instances and other zones need is kept: all but the part of
+			// this zone, whose instances all send about as much as this one. The rest is
+			// divided among the crowded zones and this zone's instances.
 			// By Little's law the requests that are pending times the share of their time
 			// that is work are the slots in use.
 			need := float64(z.Pending - z.Own*instances)
