warmup: carry wants and loans in the exchange of loads

Cause: without loans no cold backend server of a service with a limit gets a flow until it is warm.

Change: reports ask for loans and return unused ones, replies grant them; the lender runs in every control instance, and lends only for services whose document sets a limit.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -24,6 +24,7 @@
 	"catkinrail.example/catkinrail/control/load"
 	"catkinrail.example/catkinrail/control/operator"
 	"catkinrail.example/catkinrail/control/voter"
+	"catkinrail.example/catkinrail/control/warmup"
 	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
@@ -213,6 +214,11 @@
 	reg := metrics.NewRegistry()
 	loads := load.New(d.cfg.Address, rand.Uint64(), dir, clk, reg)
 	dir.ExchangeLoads(loads)
+	lender := warmup.New(warmup.Config{
+		Name: d.cfg.Name, Tolerance: d.cfg.warmupTolerance(), Control: c, Directory: dir, Clock: clk, Wall: clock.Wall{},
+		Log: d.log, Metrics: reg,
+	})
+	loads.LendBy(lender)
 	zones := evacuation.NewZones(c, d.cfg.Zones, dir, streams)
 	if d.cfg.Public == "" {
 		// No backend server reports to this instance, so its directory is always empty.
@@ -228,6 +234,7 @@
 	}
 	c.Start(ctx, g)
 	g.Go(func() error { return rpc.Serve(ctx, l, mux) })
+	g.Go(func() error { return lender.Run(ctx) })
 	g.Go(func() error { return d.keepJoined(ctx, c, voters) })
 	g.Go(func() error { return d.awaitContact(ctx, streams) })
 	if d.cfg.Metrics != "" {
--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/warmup"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/settings"
 	"catkinrail.example/catkinrail/transport/rpc"
@@ -87,6 +88,11 @@
 	return list
 }
 
+// warmupTolerance returns how far the rate of a cold backend server may be exceeded.
+func (s *Settings) warmupTolerance() warmup.Tolerance {
+	return warmup.Tolerance{Overage: s.WarmupOverage, Slack: s.WarmupSlack}
+}
+
 // Peer is a control instance in the settings.
 type Peer struct {
 	Name    string `yaml:"name"`
--- a/control/load/server.go
+++ b/control/load/server.go
@@ -25,11 +25,18 @@
 	Since(revision uint64) (list []directory.View, at uint64, changed <-chan struct{})
 }
 
+// Lender lends flows on cold backend servers.
+type Lender interface {
+	Lend(r *message.LoadReport) []message.Loan
+}
+
 // Server answers the load reports of the entry instances that follow this control instance.
 // It is safe for concurrent use.
 type Server struct {
 	dir   Directory
 	clock catkinrail.Clock
+	// lender is nil if this control instance lends no flows.
+	lender Lender
 
 	mu    sync.Mutex
 	table *load.Table
@@ -65,8 +72,23 @@
 	}
 }
 
-// Report records an entry instance's report and returns the sums of all reports.
+// LendBy makes l lend flows in reply to reports. It must be called before the first report.
+func (s *Server) LendBy(l Lender) {
+	s.lender = l
+}
+
+// Report records an entry instance's report and returns the sums of all reports, and loans
+// if the report is the last one of its process.
 func (s *Server) Report(r *message.LoadReport) *message.LoadReply {
+	reply := s.record(r)
+	if s.lender != nil && reply.Sequence == r.Sequence {
+		reply.Loans = s.lender.Lend(r)
+	}
+	return reply
+}
+
+// record records a report and returns the sums of all reports.
+func (s *Server) record(r *message.LoadReport) *message.LoadReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := s.table.Report(r, s.prepare())
--- a/control/load/server_test.go
+++ b/control/load/server_test.go
@@ -70,3 +70,27 @@
 	clk.now = clk.now.Add(2 * time.Minute)
 	require.Empty(t, s.Zones(), "the directory has dropped it")
 }
+
+// fakeLender lends a flow for each report.
+type fakeLender struct{ asked int }
+
+func (f *fakeLender) Lend(r *message.LoadReport) []message.Loan {
+	f.asked++
+	return []message.Loan{{Token: 7, StartedAt: 100, Flows: r.Wants["s"]}}
+}
+
+// TestLoansInReplies guards against replies without loans, and against loans for a report
+// that came after a newer one: their validity would count from the newer one.
+func TestLoansInReplies(t *testing.T) {
+	clk := &manualClock{time.Unix(1000, 0)}
+	s := New("c1", 1, &fakeDirectory{directory.New(time.Second), clk}, clk, metrics.NewRegistry())
+	report := func(sequence uint64) *message.LoadReport {
+		return &message.LoadReport{Name: "e1", Zone: "a", Process: 1, Sequence: sequence, Wants: map[string]int{"s": 2}}
+	}
+	require.Empty(t, s.Report(report(1)).Loans, "no lender")
+	l := &fakeLender{}
+	s.LendBy(l)
+	require.Equal(t, []message.Loan{{Token: 7, StartedAt: 100, Flows: 2}}, s.Report(report(3)).Loans)
+	require.Empty(t, s.Report(report(2)).Loans)
+	require.Equal(t, 1, l.asked)
+}
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -254,8 +254,9 @@
 	loads         sharedLoads
 	// cold holds the services whose requests to cold backend servers are limited, nil if
 	// there are none.
-	cold  map[string]*coldService
-	loans *warmup.Allowance
+	cold      map[string]*coldService
+	allowance *warmup.Allowance
+	requests  requests
 	// placed is set once a flow was placed; oldestStart is the earliest start of a known
 	// incarnation, in Unix milliseconds.
 	placed      bool
@@ -275,7 +276,7 @@
 		routes:   map[netip.AddrPort]*catkinrail.Route{},
 		backends: map[string]*Backend{}, tokens: map[catkinrail.Token]*Backend{},
 		services: map[string][]*Backend{}, flows: map[catkinrail.FlowKey]*flow{},
-		placement: newPlacement(), loans: warmup.NewAllowance(),
+		placement: newPlacement(), allowance: warmup.NewAllowance(),
 	}
 }
 
--- a/coordination/token/load.go
+++ b/coordination/token/load.go
@@ -36,14 +36,19 @@
 
 // LoadReport fills in the report of this instance's load, with the next sequence, and
 // reports whether it is to be sent: loads are shared, and this instance has flows or its
-// last report said so. Only the sender, its name, zone and process, is set by the caller.
+// last report said so, or it asks for loans or returns some. Only the sender, its name, zone
+// and process, is set by the caller.
 func (e *Engine) LoadReport(r *message.LoadReport, now int64) bool {
 	r.Servers = r.Servers[:0]
-	if !e.loads.shared {
+	asks := e.ask(r, now)
+	if !e.loads.shared && !asks {
 		e.loads.reported = false
 		return false
 	}
 	for _, b := range e.loads.backends {
+		if !e.loads.shared {
+			break
+		}
 		if b.flows == 0 && b.pending == 0 && b.pendingHandshakes == 0 {
 			continue
 		}
@@ -51,19 +56,21 @@
 			Server: b.loadKey, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.work.Latency(now),
 		})
 	}
-	if len(r.Servers) == 0 && !e.loads.reported {
+	if len(r.Servers) == 0 && !e.loads.reported && !asks {
 		return false
 	}
 	e.loads.reported = len(r.Servers) > 0
 	r.Sequence++
 	r.Known = e.loads.view.Known()
 	e.loads.view.RecordSent(r, now)
+	e.recordAsked(r, now)
 	return true
 }
 
 // ApplyLoad applies the reply to a report, and reports whether it was newer than those
 // before.
 func (e *Engine) ApplyLoad(r *message.LoadReply, now int64) bool {
+	e.applyLoans(r, now)
 	v := &e.loads.view
 	if !v.Apply(r) {
 		return false
--- a/coordination/token/warmup.go
+++ b/coordination/token/warmup.go
@@ -113,7 +113,7 @@
 		switch {
 		case b == avoid || b.Draining || b.evacuated:
 		case e.isCold(f.service, b, now):
-			left += e.loans.Left(b.token, b.StartedAt, now)
+			left += e.allowance.Left(b.token, b.StartedAt, now)
 		case !b.silent:
 			return f
 		}
@@ -139,7 +139,7 @@
 	if f.service == nil || !e.isCold(f.service, b, now) {
 		return false
 	}
-	if f.reserved || e.linkWait[egress.ClassOpening] > warmup.MaxTransit || e.loans.Left(b.token, b.StartedAt, now) == 0 {
+	if f.reserved || e.linkWait[egress.ClassOpening] > warmup.MaxTransit || e.allowance.Left(b.token, b.StartedAt, now) == 0 {
 		f.excluded = true
 		return true
 	}
@@ -153,13 +153,13 @@
 	if s == nil || !e.isCold(s, b, now) {
 		return true
 	}
-	return e.linkWait[egress.ClassOpening] <= warmup.MaxTransit && e.loans.Take(b.token, b.StartedAt, now)
+	return e.linkWait[egress.ClassOpening] <= warmup.MaxTransit && e.allowance.Take(b.token, b.StartedAt, now)
 }
 
-// Wants returns the number of flows, by service, that the instance would place on cold
+// wants returns the number of flows, by service, that the instance would place on cold
 // backend servers before its next request, estimated from those opened lately. It should
 // be called with each request.
-func (e *Engine) Wants(now int64) map[string]int {
+func (e *Engine) wants(now int64) map[string]int {
 	var wants map[string]int
 	for name, s := range e.cold {
 		s.estimate(now)
@@ -215,24 +215,43 @@
 	})
 }
 
-// ApplyLoans adds the loans in the reply to the request of the given sequence, which was
-// sent at sentAt.
-func (e *Engine) ApplyLoans(sequence uint64, sentAt int64, loans []message.Loan, now int64) {
-	e.loans.Apply(sequence, sentAt, loans, now)
+// maxRequests is the number of requests whose replies may still be applied.
+const maxRequests = 4
+
+// requests holds the times at which the last requests for loans were sent.
+type requests [maxRequests]struct {
+	sequence uint64
+	sentAt   int64
+}
+
+// ask adds to a report what concerns loans, and reports whether there is something.
+func (e *Engine) ask(r *message.LoadReport, now int64) bool {
+	r.Wants, r.Returned = e.wants(now), e.allowance.Return(now)
+	return len(r.Wants)+len(r.Returned) > 0
 }
 
-// ReturnLoans returns the loans that ended unused since the last call.
-func (e *Engine) ReturnLoans(now int64) []message.LoanReturn {
-	return e.loans.Return(now)
+// recordAsked records that the report was sent.
+func (e *Engine) recordAsked(r *message.LoadReport, now int64) {
+	if len(r.Wants) > 0 {
+		q := &e.requests[r.Sequence%maxRequests]
+		q.sequence, q.sentAt = r.Sequence, now
+	}
+}
+
+// applyLoans adds the loans in a reply.
+func (e *Engine) applyLoans(r *message.LoadReply, now int64) {
+	if q := &e.requests[r.Sequence%maxRequests]; len(r.Loans) > 0 && q.sequence == r.Sequence {
+		e.allowance.Apply(r.Sequence, q.sentAt, r.Loans, now)
+	}
 }
 
 // CheckClock discards the loans if the wall clock and the steady clock have diverged. It
 // must be called before the packets that arrived while the process waited.
 func (e *Engine) CheckClock(now, wall int64) {
-	e.loans.CheckClock(now, wall)
+	e.allowance.CheckClock(now, wall)
 }
 
 // LoanStats returns the counts of flows by loans.
 func (e *Engine) LoanStats() warmup.AllowanceStats {
-	return e.loans.Stats()
+	return e.allowance.Stats()
 }
--- a/coordination/token/warmup_test.go
+++ b/coordination/token/warmup_test.go
@@ -32,6 +32,23 @@
 	return []message.Loan{{Token: b.Token(), StartedAt: b.StartedAt, Flows: flows}}
 }
 
+// lend makes the engine, to which nothing was lent yet, ask for loans and apply a reply with
+// the given ones at the given time.
+func lend(t *testing.T, e *token.Engine, loans []message.Loan, at int64) {
+	t.Helper()
+	var r message.LoadReport
+	// Flows that are refused for want of a loan make the engine ask for some.
+	e.LoadReport(&r, at-500*ms)
+	e.Decide(opening(60_000, 1), at-300*ms)
+	e.LoadReport(&r, at-250*ms)
+	e.Decide(opening(60_000, 1), at-10*ms)
+	if !e.LoadReport(&r, at) {
+		require.Empty(t, loans)
+		return
+	}
+	e.ApplyLoad(&message.LoadReply{Sequence: r.Sequence, Whole: true, Loans: loans}, at)
+}
+
 // TestColdBackends guards against opening packets that reach a cold backend server without
 // a loan, and against refusals while a warm one takes flows.
 func TestColdBackends(t *testing.T) {
@@ -60,7 +77,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			e := newEngine(tt.backends...)
 			e.SetDocument(limited(20))
-			e.ApplyLoans(1, 0, tt.loans, 0)
+			lend(t, e, tt.loans, 0)
 			e.RecordContact(tt.at)
 			v := e.Decide(tt.p, tt.at)
 			require.Equal(t, tt.action, v.Action)
@@ -78,7 +95,7 @@
 	cold := coldBackend()
 	e := newEngine(cold)
 	e.SetDocument(limited(20))
-	e.ApplyLoans(1, 0, loan(cold, 2), 0)
+	lend(t, e, loan(cold, 2), 0)
 	require.Equal(t, token.ReasonPlaced, e.Decide(opening(1, 0), 0).Reason)
 	require.Equal(t, token.ReasonCopy, e.Decide(opening(1, 1), 5*ms).Reason)
 	v := e.Decide(opening(1, 2), 180*ms)
@@ -150,18 +167,20 @@
 		p.Flow.DstPort = dst
 		return e.Decide(p, now).Reason
 	}
+	var report message.LoadReport
 	for range 8 {
 		now += 250 * ms
 		e.RecordContact(now)
-		e.Wants(now)
+		e.LoadReport(&report, now)
 		for range 4 {
 			send(443)
 		}
 		send(444)
 	}
 	now += 250 * ms
-	require.Equal(t, map[string]int{"logbook": 5}, e.Wants(now))
-	e.ApplyLoans(1, now, loan(cold, 3), now)
+	require.True(t, e.LoadReport(&report, now))
+	require.Equal(t, map[string]int{"logbook": 5}, report.Wants)
+	e.ApplyLoad(&message.LoadReply{Sequence: report.Sequence, Whole: true, Loans: loan(cold, 3)}, now)
 	require.Equal(t, token.ReasonPlaced, send(443))
 	require.Equal(t, token.ReasonPlaced, send(443))
 	require.Equal(t, token.ReasonCold, send(443), "the last loan is kept")
@@ -196,10 +215,12 @@
 					e.RecordContact(now)
 				}
 			case 1:
-				require.Empty(t, engines[0].Wants(now))
-				require.Empty(t, engines[1].Wants(now))
+				for _, e := range engines {
+					var r message.LoadReport
+					require.False(t, e.LoadReport(&r, now))
+				}
 				engines[1].CheckClock(now, now+rapid.Int64Range(0, 1).Draw(t, "jump")*int64(time.Hour))
-				engines[1].ApplyLoans(uint64(now), now, []message.Loan{{Token: catkinrail.Token(id), StartedAt: 100, Flows: 1}}, now)
+				engines[1].ApplyLoad(&message.LoadReply{Sequence: 1, Loans: []message.Loan{{Token: catkinrail.Token(id), StartedAt: 100, Flows: 1}}}, now)
 			case 2:
 				p := data(port, catkinrail.Token(id), uint32(now/ms)+2, uint32(now/ms), 10)
 				requireSameVerdict(t, engines[0].Decide(p, now), engines[1].Decide(p, now))
@@ -230,7 +251,7 @@
 	cold := coldBackend()
 	e := newEngine(cold)
 	e.SetDocument(limited(1000))
-	e.ApplyLoans(1, 0, loan(cold, 1<<20), 0)
+	lend(t, e, loan(cold, 1<<20), 0)
 	p := opening(1, 0)
 	e.Decide(p, 0)
 	p.Copy = 1
@@ -238,6 +259,27 @@
 		require.Equal(t, token.Forward, e.Decide(p, 0).Action)
 	}))
 	missing := opening(2, 0)
-	e.ApplyLoans(2, 0, nil, int64(time.Second))
 	require.Zero(t, testing.AllocsPerRun(100, func() { e.Decide(missing, int64(time.Second)) }))
 }
+
+// TestAsksForLoansWithoutFlows guards against an instance that refuses all flows for want of
+// a loan and, having no flows, never asks for one.
+func TestAsksForLoansWithoutFlows(t *testing.T) {
+	e := newEngine(coldBackend())
+	e.SetDocument(limited(20))
+	var r message.LoadReport
+	e.LoadReport(&r, ms)
+	require.Equal(t, token.ReasonCold, e.Decide(opening(1, 0), 100*ms).Reason)
+	require.True(t, e.LoadReport(&r, 251*ms))
+	require.Equal(t, map[string]int{"logbook": 1}, r.Wants)
+	sequence := r.Sequence
+	e.ApplyLoad(&message.LoadReply{Sequence: sequence, Loans: loan(coldBackend(), 2)}, 260*ms)
+	require.Equal(t, token.ReasonPlaced, e.Decide(opening(2, 0), 270*ms).Reason)
+	// What is left over is returned with the next report.
+	require.True(t, e.LoadReport(&r, 501*ms))
+	require.Equal(t, []message.LoanReturn{{Sequence: sequence, Token: 1, StartedAt: 100, Flows: 1, Idle: 231 * time.Millisecond}}, r.Returned)
+	require.Equal(t, uint64(1), e.LoanStats().Used)
+	// The reply to a report that wasn't sent by this process brings nothing.
+	e.ApplyLoad(&message.LoadReply{Sequence: r.Sequence + 1, Loans: loan(coldBackend(), 2)}, 510*ms)
+	require.Equal(t, token.ReasonCold, e.Decide(opening(3, 0), 510*ms).Reason)
+}
--- a/entry/load/client.go
+++ b/entry/load/client.go
@@ -95,6 +95,8 @@
 	// age is the age of the view in milliseconds, rows the number of backend servers that
 	// others put load on, and instances that of the zone's reporting entry instances.
 	age, rows, instances metrics.Gauge
+	// loansReceived, loansUsed and loansExpired count flows on cold backend servers.
+	loansReceived, loansUsed, loansExpired metrics.Gauge
 }
 
 // New returns a client. It registers its metrics with the registry.
@@ -106,7 +108,9 @@
 			reports: metrics.GetOrRegisterCounter("load-reports", reg), failures: metrics.GetOrRegisterCounter("load-failures", reg),
 			sent: metrics.GetOrRegisterCounter("load-bytes-sent", reg), received: metrics.GetOrRegisterCounter("load-bytes-received", reg),
 			age: metrics.GetOrRegisterGauge("load-age-ms", reg), rows: metrics.GetOrRegisterGauge("load-rows", reg),
-			instances: metrics.GetOrRegisterGauge("load-instances", reg),
+			instances:     metrics.GetOrRegisterGauge("load-instances", reg),
+			loansReceived: metrics.GetOrRegisterGauge("loans-received", reg),
+			loansUsed:     metrics.GetOrRegisterGauge("loans-used", reg), loansExpired: metrics.GetOrRegisterGauge("loans-expired", reg),
 		},
 		report: message.LoadReport{Name: cfg.Name, Zone: cfg.Zone, Process: cfg.Process},
 	}
@@ -132,7 +136,10 @@
 	for clock.Sleep(ctx, delay) {
 		delay = c.exchange(ctx)
 		c.cfg.Router.Do(func(e *token.Engine, now int64) {
-			v := e.LoadView()
+			v, loans := e.LoadView(), e.LoanStats()
+			c.stats.loansReceived.Update(int64(loans.Received))
+			c.stats.loansUsed.Update(int64(loans.Used))
+			c.stats.loansExpired.Update(int64(loans.Expired))
 			c.stats.rows.Update(int64(v.Rows()))
 			c.stats.instances.Update(int64(v.Instances()))
 			if v.At() > 0 {
--- a/entry/load/client_test.go
+++ b/entry/load/client_test.go
@@ -25,6 +25,8 @@
 	"catkinrail.example/catkinrail/transport/rpc"
 )
 
+var listen = netip.MustParseAddrPort("198.18.0.1:443")
+
 // standIn is a control instance that answers load reports as the test says.
 type standIn struct {
 	control.DRPCControlUnimplementedServer
@@ -77,13 +79,12 @@
 		_ = g.Wait()
 	})
 	e := token.New("a", 1)
-	listen := netip.MustParseAddrPort("198.18.0.1:443")
 	e.SetDocument(&catkinrail.Document{Version: 1, Services: []string{"s"}, Routes: []catkinrail.Route{{
 		Listen: listen, Timeout: time.Second, LatencyTarget: time.Second, Targets: []catkinrail.Target{{Service: "s", Weight: 1}},
 	}}})
 	e.Update([]token.FollowedBackend{{Incarnation: catkinrail.Incarnation{Name: "b", Identity: 1, StartedAt: 100, Service: "s", Zone: "a"}}}, 0)
 	clk := clock.New()
-	r := packet.NewRouter(e, clk)
+	r := packet.NewRouter(e, clk, clk)
 	r.Do(func(e *token.Engine, now int64) {
 		e.Decide(&catkinrail.TokenPacket{Flow: catkinrail.FlowKey{Dst: listen.Addr().As16(), DstPort: 443}, Opening: true}, now)
 	})
@@ -156,3 +157,37 @@
 		})
 	}
 }
+
+// TestLoansThroughExchange guards against wants that aren't sent and loans that aren't
+// applied.
+func TestLoansThroughExchange(t *testing.T) {
+	s := &standIn{}
+	c, r := newClient(t, s)
+	table := load.NewTable("c", 1)
+	var wants map[string]int
+	s.set(func(_ context.Context, r *message.LoadReport) (*message.LoadReply, error) {
+		reply := table.Report(r, time.Now().UnixNano())
+		wants = r.Wants
+		if r.Wants != nil {
+			reply.Loans = []message.Loan{{Token: 2, StartedAt: 100, Flows: 3}}
+		}
+		return reply, nil
+	})
+	r.Do(func(e *token.Engine, now int64) {
+		e.SetDocument(&catkinrail.Document{
+			Version: 2, Services: []string{"s"}, Limits: map[string]catkinrail.ServiceLimits{"s": {WarmupTime: time.Hour, WarmupRate: 1}},
+			Routes: []catkinrail.Route{{Listen: listen, LatencyTarget: time.Second, Targets: []catkinrail.Target{{Service: "s", Weight: 1}}}},
+		})
+		e.Update([]token.FollowedBackend{{Incarnation: catkinrail.Incarnation{
+			Name: "cold", Identity: 2, StartedAt: 100, Sequence: 1, Service: "s", Zone: "a", Warmup: time.Hour,
+		}}}, now)
+	})
+	c.exchange(t.Context())
+	require.Empty(t, wants, "no flows were opened lately")
+	r.Do(func(e *token.Engine, now int64) {
+		e.Decide(&catkinrail.TokenPacket{Flow: catkinrail.FlowKey{SrcPort: 2, Dst: listen.Addr().As16(), DstPort: 443}, Opening: true}, now)
+	})
+	c.exchange(t.Context())
+	require.Positive(t, wants["s"])
+	r.Do(func(e *token.Engine, _ int64) { require.Equal(t, uint64(3), e.LoanStats().Received) })
+}
--- a/entry/packet/worker_test.go
+++ b/entry/packet/worker_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/platform"
@@ -198,3 +199,50 @@
 		})
 	}
 }
+
+// fakeClocks are a steady clock and a wall clock.
+type fakeClocks struct{ steady, wall int64 }
+
+func (c *fakeClocks) Nanos() int64 { return c.steady }
+
+func (c *fakeClocks) Now() time.Time { return time.Unix(0, c.wall) }
+
+// TestLoansEndWhenClocksDiverge guards against loans that a suspended machine, whose steady
+// clock stood still, uses long after they were lent.
+func TestLoansEndWhenClocksDiverge(t *testing.T) {
+	listen := netip.MustParseAddrPort("198.18.0.1:443")
+	for _, suspended := range []time.Duration{0, time.Minute} {
+		e := token.New("a", 1)
+		e.SetDocument(&catkinrail.Document{
+			Version: 2, Services: []string{"s"}, Limits: map[string]catkinrail.ServiceLimits{"s": {WarmupTime: time.Hour, WarmupRate: 1}},
+			Routes: []catkinrail.Route{{Listen: listen, Targets: []catkinrail.Target{{Service: "s", Weight: 1}}}},
+		})
+		clk := &fakeClocks{steady: int64(time.Hour), wall: int64(2 * time.Hour)}
+		r := NewRouter(e, clk, clk)
+		var report message.LoadReport
+		var last token.Reason
+		open := func(port uint16) {
+			r.Do(func(e *token.Engine, now int64) {
+				p := &catkinrail.TokenPacket{Flow: catkinrail.FlowKey{SrcPort: port, Dst: listen.Addr().As16(), DstPort: 443}, Opening: true}
+				last = e.Decide(p, now).Reason
+			})
+		}
+		r.Do(func(e *token.Engine, now int64) {
+			e.Update([]token.FollowedBackend{{Incarnation: catkinrail.Incarnation{
+				Name: "cold", Identity: 2, StartedAt: 100, Service: "s", Zone: "a", Warmup: time.Hour,
+			}}}, now)
+			e.LoadReport(&report, now)
+		})
+		open(1)
+		require.Equal(t, token.ReasonCold, last)
+		clk.steady += int64(250 * time.Millisecond)
+		clk.wall += int64(250 * time.Millisecond)
+		r.Do(func(e *token.Engine, now int64) {
+			require.True(t, e.LoadReport(&report, now))
+			e.ApplyLoad(&message.LoadReply{Sequence: report.Sequence, Loans: []message.Loan{{Token: 2, StartedAt: 100, Flows: 1}}}, now)
+		})
+		clk.wall += int64(suspended)
+		open(2)
+		require.Equal(t, suspended > 0, last == token.ReasonCold)
+	}
+}
