--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -18,10 +18,13 @@
 	"catkinrail.example/catkinrail/control/core"
 	"catkinrail.example/catkinrail/control/document"
 	"catkinrail.example/catkinrail/control/entry"
+	"catkinrail.example/catkinrail/control/evacuation"
 	"catkinrail.example/catkinrail/control/follow"
 	"catkinrail.example/catkinrail/control/gossip"
+	"catkinrail.example/catkinrail/control/load"
 	"catkinrail.example/catkinrail/control/operator"
 	"catkinrail.example/catkinrail/control/voter"
+	"catkinrail.example/catkinrail/control/warmup"
 	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
@@ -41,7 +44,10 @@
 	joinInterval      = 200 * time.Millisecond
 	bootstrapInterval = 200 * time.Millisecond
 	contactInterval   = 500 * time.Millisecond
-	startTimeout      = 5 * time.Second
+	// announceInterval is the time after which features are announced again to a leader that
+	// has not recorded them.
+	announceInterval = 10 * time.Second
+	startTimeout     = 5 * time.Second
 )
 
 // daemon runs a control instance. Its creator sets cfg, log and bootstrap; the method
@@ -64,7 +70,9 @@
 
 // self returns this instance's name, zone and addresses as other instances know them.
 func (d *daemon) self() quorum.Peer {
-	return quorum.Peer{Name: d.cfg.Name, Addr: d.cfg.Address, Zone: string(d.cfg.Zone), Public: d.cfg.Public}
+	return quorum.Peer{
+		Name: d.cfg.Name, Addr: d.cfg.Address, Zone: string(d.cfg.Zone), Public: d.cfg.Public, Features: quorum.AllFeatures,
+	}
 }
 
 // seeds returns the addresses of control instances in the current settings.
@@ -203,26 +211,41 @@
 		SilentAfter: d.cfg.SilentAfter, Members: func() *quorum.Members { return c.Published().Members }, Dir: d.dir,
 	})
 	streams := follow.New(c, dir, clk, d.log)
+	reg := metrics.NewRegistry()
+	loads := load.New(d.cfg.Address, rand.Uint64(), dir, clk, reg)
+	dir.ExchangeLoads(loads)
+	lender := warmup.New(warmup.Config{
+		Name: d.cfg.Name, Tolerance: d.cfg.warmupTolerance(), Control: c, Directory: dir, Clock: clk, Wall: clock.Wall{},
+		Log: d.log, Metrics: reg,
+	})
+	loads.LendBy(lender)
+	zones := evacuation.NewZones(c, d.cfg.Zones, dir, streams)
+	if d.cfg.Public == "" {
+		// No backend server reports to this instance, so its directory is always empty.
+		zones = evacuation.NewZones(c, d.cfg.Zones, nil, streams)
+	}
 	mux := drpcmux.New()
 	err = errors.Join(
-		control.DRPCRegisterControl(mux, entry.New(c, dir, streams)),
-		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, clk)),
+		control.DRPCRegisterControl(mux, entry.New(c, dir, streams, loads)),
+		api.DRPCRegisterOperator(mux, operator.New(d.cfg.Name, c, dir, streams, zones, loads, clk)),
 	)
 	if err != nil {
 		return err
 	}
 	c.Start(ctx, g)
 	g.Go(func() error { return rpc.Serve(ctx, l, mux) })
+	g.Go(func() error { return lender.Run(ctx) })
 	g.Go(func() error { return d.keepJoined(ctx, c, voters) })
 	g.Go(func() error { return d.awaitContact(ctx, streams) })
-	reg := metrics.NewRegistry()
 	if d.cfg.Metrics != "" {
-		g.Go(func() error { return d.serveMetrics(ctx, c, reg) })
+		g.Go(func() error { return d.serveMetrics(ctx, c, loads, reg) })
 	}
 	if d.cfg.Public != "" {
 		dir.Start(ctx)
-		store := document.New(c, rpc.NewPool(d.creds), clk, reg)
-		h := platform.ControlHandler(dir, store, clk, d.log)
+		clients := rpc.NewPool(d.creds)
+		documents := document.New(c, clients, clk, reg)
+		evacuations := evacuation.New(c, clients, zones, documents, clk, reg)
+		h := platform.ControlHandler(dir, documents, evacuations, clk, d.log)
 		g.Go(func() error { return metricspage.ServeHTTP(ctx, d.cfg.Public, h) })
 	}
 	d.log.Info().Str("address", d.cfg.Address).Uint64("node", uint64(d.identity.Node)).Msg("started")
@@ -247,14 +270,24 @@
 
 // keepJoined requests to join, at an interval, while this instance isn't a voter with
 // its own name and addresses. It also does so while the instance is out of contact
-// with a leader, since it may have been removed in that time.
+// with a leader, since it may have been removed in that time. After an upgrade it
+// announces its features in the same way. A leader of an older build does nothing about that;
+// the next leader is asked, or the same one after announceInterval.
 func (d *daemon) keepJoined(ctx context.Context, c *core.Core, v *voter.Transport) error {
 	req := &message.JoinRequest{Node: d.identity.Node, Peer: d.self()}
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
+	var refusedTerm uint64
+	var refusedAt time.Time
 	for i := 0; ; i++ {
-		if !c.Joined(req.Peer) {
+		term, now := c.Published().Term, d.clock.Now()
+		switch {
+		case !c.Joined(req.Peer):
 			d.requestJoin(ctx, c, v, req, i)
+		case c.Announced(req.Peer):
+		case term == refusedTerm && now.Sub(refusedAt) < announceInterval:
+		case d.requestJoin(ctx, c, v, req, toLeader):
+			refusedTerm, refusedAt = term, now
 		}
 		select {
 		case <-ctx.Done():
@@ -264,16 +297,21 @@
 	}
 }
 
+// toLeader is the number of an attempt that goes to the leader.
+const toLeader = 0
+
 // requestJoin sends a join request. Even attempts go to the leader if one is known,
 // the others to the known instances in turn. A leader sends it to itself, so that its
-// own name and addresses get updated.
-func (d *daemon) requestJoin(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest, attempt int) {
+// own name and addresses get updated. It reports whether a leader replied that nothing is left
+// to do.
+func (d *daemon) requestJoin(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest, attempt int) (done bool) {
 	state := c.Published()
 	if state.Leader == state.Node {
-		if _, err := c.Join(ctx, req); err != nil {
+		reply, err := c.Join(ctx, req)
+		if err != nil {
 			d.log.Debug().Err(err).Msg("join request to itself failed")
 		}
-		return
+		return err == nil && !reply.RetryLater
 	}
 	known := slices.Clone(d.seeds())
 	for _, id := range cluster.SortedKeys(state.Members.Nodes) {
@@ -288,16 +326,18 @@
 		addr = named
 	}
 	if addr == d.cfg.Address {
-		return
+		return false
 	}
-	if _, err := v.Join(ctx, addr, req); err != nil {
+	done, err := v.Join(ctx, addr, req)
+	if err != nil {
 		d.log.Debug().Err(err).Str("peer", addr).Msg("join request failed")
 	}
+	return done && err == nil
 }
 
 // serveMetrics serves the metrics and health pages until ctx ends. The instance is
 // ready while it knows a leader.
-func (d *daemon) serveMetrics(ctx context.Context, c *core.Core, reg metrics.Registry) error {
+func (d *daemon) serveMetrics(ctx context.Context, c *core.Core, loads *load.Server, reg metrics.Registry) error {
 	version := metrics.GetOrRegisterGauge("version", reg)
 	commit := metrics.GetOrRegisterGauge("commit-index", reg)
 	term := metrics.GetOrRegisterGauge("term", reg)
@@ -305,6 +345,7 @@
 	moves := metrics.GetOrRegisterGauge("moves", reg)
 	instances := metrics.GetOrRegisterGauge("instances", reg)
 	ready := func() error {
+		loads.UpdateMetrics()
 		err := errors.New("no leader is known")
 		localErr := c.Local(ctx, func(s *cluster.State, status *core.Status) {
 			version.Update(int64(s.Version))
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -15,6 +15,8 @@
 type PublishedState struct {
 	// Document is the document at the applied index, nil before the first.
 	Document *catkinrail.Document
+	// Evacuations are those at the applied index, nil before the first order.
+	Evacuations *catkinrail.Evacuations
 	// Applied is the index of the last entry that was applied.
 	Applied uint64
 	Members *quorum.Members
@@ -36,7 +38,7 @@
 	}
 	c.publishedMembersIndex = c.node.MembersIndex()
 	s := &PublishedState{
-		Document: c.state.Document, Applied: c.node.AppliedIndex(), Members: c.node.Members(),
+		Document: c.state.Document, Evacuations: c.state.Evacuations, Applied: c.node.AppliedIndex(), Members: c.node.Members(),
 		Node: c.node.ID(), Leader: c.node.LeaderID(), Term: c.node.Term(),
 	}
 	c.published.Store(s)
@@ -46,7 +48,7 @@
 	close(*c.advanced.Swap(newSignal()))
 }
 
-// logChange logs a change of the leader, the document or the members.
+// logChange logs a change of the leader, the document, the evacuations or the members.
 func (c *Core) logChange(old, s *PublishedState) {
 	if old.Leader != s.Leader || old.Term != s.Term {
 		c.cfg.Log.Info().Uint64("term", s.Term).Str("leader", s.Members.Nodes[s.Leader].Name).
@@ -56,6 +58,10 @@
 		c.cfg.Log.Info().Uint64("version", s.Document.Version).Uint64("applied", s.Applied).
 			Int("routes", len(s.Document.Routes)).Msg("document in force")
 	}
+	if old.Evacuations != s.Evacuations && s.Evacuations != nil {
+		c.cfg.Log.Info().Uint64("revision", s.Evacuations.Revision).Uint64("applied", s.Applied).
+			Interface("zones", s.Evacuations.Zones).Msg("evacuations in force")
+	}
 	if !slices.Equal(cluster.SortedKeys(old.Members.Nodes), cluster.SortedKeys(s.Members.Nodes)) ||
 		old.Members.Voters() != s.Members.Voters() {
 		c.cfg.Log.Info().Int("voters", s.Members.Voters()).Int("members", len(s.Members.Nodes)).
@@ -108,7 +114,8 @@
 	// mark and term identify the read to the node.
 	mark int64
 	term uint64
-	done chan error
+	// finish receives nil once the leader is confirmed, or an error.
+	finish func(error)
 }
 
 // ReadIndex returns, on the leader, the index that must be applied before a read
@@ -134,12 +141,18 @@
 // answered. done receives nil once a majority has confirmed the leader, or an error
 // if this instance doesn't lead.
 func (c *Core) beginRead(done chan error) uint64 {
+	return c.confirmLeader(func(err error) { done <- err })
+}
+
+// confirmLeader calls finish with nil once a majority has confirmed the leader, or with an
+// error if this instance doesn't lead. It returns the index that is committed now.
+func (c *Core) confirmLeader(finish func(error)) uint64 {
 	mark, index, err := c.node.BeginRead(c.now())
 	if err != nil {
-		done <- c.leaderError()
+		finish(c.leaderError())
 		return 0
 	}
-	c.reads = append(c.reads, pendingRead{mark: mark, term: c.node.Term(), done: done})
+	c.reads = append(c.reads, pendingRead{mark: mark, term: c.node.Term(), finish: finish})
 	return index
 }
 
@@ -149,9 +162,9 @@
 	c.reads = slices.DeleteFunc(c.reads, func(r pendingRead) bool {
 		switch {
 		case c.node.Role() != quorum.Leader || c.node.Term() != r.term:
-			r.done <- c.leaderError()
+			r.finish(c.leaderError())
 		case c.node.ReadConfirmed(r.mark):
-			r.done <- nil
+			r.finish(nil)
 		default:
 			return false
 		}
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -35,7 +35,18 @@
 // addresses, and was in sync with a leader within memberTimeout.
 func (c *Core) Joined(self quorum.Peer) bool {
 	s := c.Published()
-	return s.Members.Voter(s.Node) && s.Members.Nodes[s.Node] == self && c.now()-c.Synced() < int64(memberTimeout)
+	known := s.Members.Nodes[s.Node]
+	// A leader of an older build doesn't record features.
+	known.Features = self.Features
+	return s.Members.Voter(s.Node) && known == self && c.now()-c.Synced() < int64(memberTimeout)
+}
+
+// Announced reports whether this instance's members hold its features. They may lack them although
+// the leader has them: builds that don't know features drop them from the entries that they store,
+// and a later build reads these entries.
+func (c *Core) Announced(self quorum.Peer) bool {
+	s := c.Published()
+	return s.Members.Nodes[s.Node].Features == self.Features
 }
 
 // Join takes one step towards a vote for an instance: it is added as a learner,
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -31,12 +31,23 @@
 	core   *core.Core
 	dir    *gossip.Directory
 	follow *follow.Server
+	loads  LoadService
 }
 
-// New returns a server on top of the core, the directory and the streams to entry
-// instances.
-func New(c *core.Core, dir *gossip.Directory, f *follow.Server) *Server {
-	return &Server{core: c, dir: dir, follow: f}
+// LoadService answers the load reports of entry instances.
+type LoadService interface {
+	Report(r *message.LoadReport) *message.LoadReply
+	// Leave removes the load of an entry instance that no longer follows this control
+	// instance.
+	Leave(name string)
+	// RecordBytes counts the bytes of a report and of its reply.
+	RecordBytes(in, out int)
+}
+
+// New returns a server on top of the core, the directory, the streams to entry instances
+// and the shared loads.
+func New(c *core.Core, dir *gossip.Directory, f *follow.Server, loads LoadService) *Server {
+	return &Server{core: c, dir: dir, follow: f, loads: loads}
 }
 
 var _ control.DRPCControlServer = (*Server)(nil)
@@ -137,6 +148,28 @@
 	return encodeReply(&message.ReadIndexReply{Index: index}, withCode(err))
 }
 
+// Evacuate implements control.DRPCControlServer.
+func (s *Server) Evacuate(ctx context.Context, f *control.Frame) (*control.Frame, error) {
+	var order plan.EvacuationOrder
+	if err := decodeRequest(ctx, f, &order, rpc.RoleControl); err != nil {
+		return nil, err
+	}
+	return &control.Frame{}, withCode(s.core.Evacuate(ctx, &order))
+}
+
+// Load implements control.DRPCControlServer.
+func (s *Server) Load(ctx context.Context, f *control.Frame) (*control.Frame, error) {
+	var r message.LoadReport
+	if err := decodeRequest(ctx, f, &r, rpc.RoleEntry); err != nil {
+		return nil, err
+	}
+	reply, err := encodeReply(s.loads.Report(&r), nil)
+	if err == nil {
+		s.loads.RecordBytes(len(f.GetBody()), len(reply.GetBody()))
+	}
+	return reply, err
+}
+
 // Gossip implements control.DRPCControlServer.
 func (s *Server) Gossip(ctx context.Context, f *control.Frame) (*control.Frame, error) {
 	var g message.Gossip
@@ -156,9 +189,13 @@
 	if err := decodeRequest(stream.Context(), f, &req, rpc.RoleEntry); err != nil {
 		return err
 	}
-	return s.follow.Serve(stream.Context(), &req, func(body []byte) error {
+	err := s.follow.Serve(stream.Context(), &req, func(body []byte) error {
 		return stream.Send(&control.Frame{Body: body})
 	})
+	if !s.follow.Follows(req.Name) {
+		s.loads.Leave(req.Name)
+	}
+	return err
 }
 
 // decodeRequest checks the client's role and decodes the frame's body into v. Its
@@ -190,5 +227,8 @@
 	if errors.Is(err, core.ErrNotLeader) {
 		return drpcerr.WithCode(err, uint64(api.Code_NOT_LEADER))
 	}
+	if errors.Is(err, plan.ErrConflict) {
+		return drpcerr.WithCode(err, uint64(api.Code_CONFLICT))
+	}
 	return err
 }
--- a/control/follow/followers.go
+++ b/control/follow/followers.go
@@ -16,6 +16,8 @@
 	// Document is the version of the document that it had at the start of the
 	// stream or was last sent.
 	Document uint64
+	// Evacuations is the revision of the evacuations that it was sent in the stream.
+	Evacuations uint64
 	// StartedAt is the time at which the stream started.
 	StartedAt time.Time
 }
@@ -29,6 +31,18 @@
 	return list
 }
 
+// Follows reports whether an entry instance follows this one.
+func (s *Server) Follows(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.streams {
+		if f.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // record publishes the stream's current state for Followers.
 func (st *stream) record() {
 	st.mu.Lock()
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -11,7 +11,9 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/egress"
-	"catkinrail.example/catkinrail/coordination/place"
+	"catkinrail.example/catkinrail/coordination/message"
+	"catkinrail.example/catkinrail/coordination/warmup"
+	"catkinrail.example/catkinrail/coordination/work"
 )
 
 // Action is what to do with a packet.
@@ -68,6 +70,12 @@
 	// ReasonLink is a new flow that was shed because its packets would wait too long for
 	// this instance's link.
 	ReasonLink
+	// ReasonEvacuated is a new flow to a service whose backend servers are all in
+	// evacuated zones.
+	ReasonEvacuated
+	// ReasonCold is an opening packet to a service of which only cold backend servers are
+	// left, without a loan for one of them.
+	ReasonCold
 	numReasons
 )
 
@@ -75,7 +83,7 @@
 func (r Reason) String() string {
 	names := [numReasons]string{
 		"placed", "copy", "next", "token", "no-route", "stale", "no-backend",
-		"unknown-token", "gone", "no-document", "overload", "link",
+		"unknown-token", "gone", "no-document", "overload", "link", "evacuated", "cold",
 	}
 	if r >= numReasons {
 		return "unknown"
@@ -162,6 +170,17 @@
 	endedAt int64
 	// silentSince is the time at which control reported it as silent.
 	silentSince int64
+	// evacuated is set while its zone is evacuated.
+	evacuated bool
+	// work is what its requests show, and others the load of the other instances.
+	work   work.Server
+	others othersLoad
+	// loadKey identifies the incarnation in reports of load.
+	loadKey message.ServerKey
+	// seenAt is the time at which this instance first heard of the incarnation;
+	// seenInTraffic is set if it had placed flows by then.
+	seenAt        int64
+	seenInTraffic bool
 }
 
 // Token returns the token that packets to the backend server carry.
@@ -192,6 +211,9 @@
 	// caller's packets.
 	sent, acked uint32
 	lastSeen    int64
+	flowCost
+	// priority is that of its route.
+	priority int
 }
 
 // Observer receives the times that the engine measures. It must not block.
@@ -200,6 +222,8 @@
 	Handshake(took time.Duration)
 	// Answer receives the time from a request to the acknowledgement of its answer.
 	Answer(took time.Duration)
+	// Placed receives how the backend server of a flow was chosen, and its zone.
+	Placed(kind ChoiceKind, zone catkinrail.Zone)
 }
 
 // Engine decides what to do with packets. It isn't safe for concurrent use.
@@ -213,18 +237,30 @@
 	tokens   map[catkinrail.Token]*Backend
 	services map[string][]*Backend
 	flows    map[catkinrail.FlowKey]*flow
+	// evacuations are the zones whose backend servers get no new flows.
+	evacuations catkinrail.Evacuations
 	// lastContact is the time of the last update from a control instance that is in
 	// contact with its leader and has sent all that it knows.
 	lastContact int64
 	// overloaded is set while new flows are shed.
 	overloaded bool
 	// linkWait is the time for which a packet of each class waits for the link.
-	linkWait   [egress.NumClasses]time.Duration
-	candidates []place.Candidate
+	linkWait  [egress.NumClasses]time.Duration
+	placement placement
 	// handshakes are the attempts that may be pending, oldest first.
 	handshakes []handshake
 	// meanHandshake is the moving average of the handshake time, zero if unknown.
 	meanHandshake time.Duration
+	loads         sharedLoads
+	// cold holds the services whose requests to cold backend servers are limited, nil if
+	// there are none.
+	cold      map[string]*coldService
+	allowance *warmup.Allowance
+	requests  requests
+	// placed is set once a flow was placed; oldestStart is the earliest start of a known
+	// incarnation, in Unix milliseconds.
+	placed      bool
+	oldestStart int64
 }
 
 // handshake is an attempt to open a flow.
@@ -240,6 +276,7 @@
 		routes:   map[netip.AddrPort]*catkinrail.Route{},
 		backends: map[string]*Backend{}, tokens: map[catkinrail.Token]*Backend{},
 		services: map[string][]*Backend{}, flows: map[catkinrail.FlowKey]*flow{},
+		placement: newPlacement(), allowance: warmup.NewAllowance(),
 	}
 }
 
@@ -278,22 +315,35 @@
 	if e.overloaded {
 		return e.shed(p, ReasonOverload)
 	}
-	listen := netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)
-	r := e.routes[listen]
+	r := e.route(p)
 	if r == nil {
 		return e.refuse(p, ReasonNoRoute, now)
 	}
 	if e.linkFull(r) {
 		return e.shed(p, ReasonLink)
 	}
-	b := e.place(r.Pick(e.rng.Uint64()), nil, now)
-	if b == nil {
-		return e.refuse(p, ReasonNoBackend, now)
+	service := r.Pick(e.rng.Uint64())
+	e.countOpening(service, r.Priority)
+	b, cold := e.place(r, service, nil, r.Priority, now)
+	if b == nil && !cold {
+		return e.refuse(p, e.unplacedReason(service), now)
+	}
+	if b == nil || !e.takeLoan(b, now) {
+		return e.shed(p, ReasonCold)
+	}
+	e.placed = true
+	f := e.track(p, b, now)
+	if f != nil {
+		f.priority, f.route = r.Priority, e.cost(r, b.Service, now)
 	}
-	e.track(p, b, now)
 	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b, Class: egress.ClassOpening}
 }
 
+// route returns the route of the packet's flow, or nil.
+func (e *Engine) route(p *catkinrail.TokenPacket) *catkinrail.Route {
+	return e.routes[netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)]
+}
+
 // refuse refuses a new flow if that is certainly right: if the document and the list
 // of backend servers are current and no instance can have forwarded the flow. If not,
 // it drops the packet.
@@ -347,14 +397,22 @@
 // openCopy decides what to do with a copy of an opening packet.
 func (e *Engine) openCopy(p *catkinrail.TokenPacket, f *flow, now int64) Verdict {
 	f.lastSeen = now
-	if f.open || now-f.openedAt < int64(retransmitGap) {
-		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
+	// The flow's backend server may be an earlier incarnation, which SetEvacuations doesn't reach.
+	evacuated := !f.open && e.isEvacuated(f.backend.Zone)
+	unanswered := now-f.openedAt >= int64(retransmitGap)
+	if f.open || (!unanswered && !evacuated) {
+		return e.repeat(f, now)
+	}
+	if unanswered {
+		e.recordMiss(f, now)
 	}
-	e.recordMiss(f, now)
-	next := e.place(f.backend.Service, f.backend, now)
-	if next == nil || next == f.previous {
+	next, _ := e.place(e.route(p), f.backend.Service, f.backend, f.priority, now)
+	if next == nil || (next == f.previous && !evacuated) || !e.takeLoan(next, now) {
+		if evacuated {
+			return Verdict{Action: Drop, Reason: ReasonEvacuated}
+		}
 		f.openedAt = now
-		return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
+		return e.repeat(f, now)
 	}
 	f.previous = f.backend
 	e.detach(f)
@@ -365,24 +423,21 @@
 	return Verdict{Action: Forward, Reason: ReasonNext, Backend: next, Class: egress.ClassOpening}
 }
 
-// place returns the backend server for a new flow, other than the one to avoid,
-// or nil if there is none.
-func (e *Engine) place(service string, avoid *Backend, now int64) *Backend {
-	list := e.services[service]
-	if len(list) == 0 {
-		return nil
-	}
-	e.candidates = e.candidates[:0]
-	for _, b := range list {
-		e.candidates = append(e.candidates, place.Candidate{
-			Slots: b.Slots, Pending: b.pending + b.pendingHandshakes, Flows: b.flows, Latency: b.latency,
-			Warmup: time.Duration(max(0, b.warmUntil-now)), Misses: b.misses, SinceMiss: time.Duration(now - b.lastMiss),
-			Silent: b.silent, Draining: b.Draining || b == avoid, Local: b.Zone == e.zone,
-		})
+// unplacedReason returns why no backend server of the service takes a new flow.
+func (e *Engine) unplacedReason(service string) Reason {
+	for _, b := range e.services[service] {
+		if b.evacuated && !b.Draining {
+			return ReasonEvacuated
+		}
 	}
-	i := place.Choose(e.candidates, e.rng.Uint64())
-	if i < 0 {
-		return nil
+	return ReasonNoBackend
+}
+
+// repeat forwards a copy of an opening packet to the backend server that it went to
+// before. A cold one counts it like a new flow, so that it needs a loan of its own.
+func (e *Engine) repeat(f *flow, now int64) Verdict {
+	if !e.takeLoan(f.backend, now) {
+		return Verdict{Action: Drop, Reason: ReasonCold}
 	}
-	return list[i]
+	return Verdict{Action: Forward, Reason: ReasonCopy, Backend: f.backend, Class: egress.ClassOpening}
 }
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/message"
 )
 
 // FollowedBackend is an incarnation with what control has observed of it.
@@ -26,9 +27,43 @@
 	for i := range d.Routes {
 		e.routes[d.Routes[i].Listen] = &d.Routes[i]
 	}
+	e.loads.shared = d.SharesLoads()
+	e.indexPlacement()
+	e.setWarmupLimits()
 	return true
 }
 
+// SetEvacuations puts the evacuations in force if they are newer than the current ones,
+// and reports whether they are.
+func (e *Engine) SetEvacuations(ev *catkinrail.Evacuations) bool {
+	if ev.Revision <= e.evacuations.Revision {
+		return false
+	}
+	e.evacuations = *ev
+	for _, b := range e.backends {
+		b.evacuated = e.isEvacuated(b.Zone)
+	}
+	e.indexPlacement()
+	return true
+}
+
+func (e *Engine) isEvacuated(zone catkinrail.Zone) bool {
+	return slices.Contains(e.evacuations.Zones, zone)
+}
+
+// Evacuations returns the evacuations in force.
+func (e *Engine) Evacuations() catkinrail.Evacuations {
+	return e.evacuations
+}
+
+// OpenFlows adds, for each zone with a backend server, the number of open flows that are tracked
+// on its backend servers to counts.
+func (e *Engine) OpenFlows(counts map[catkinrail.Zone]int) {
+	for _, b := range e.backends {
+		counts[b.Zone] += b.flows - b.pendingHandshakes
+	}
+}
+
 // Version returns the version of the document in force, or zero.
 func (e *Engine) Version() uint64 {
 	if e.document == nil {
@@ -58,6 +93,11 @@
 // outdated report, only Silent counts.
 func (e *Engine) Update(list []FollowedBackend, now int64) []*Backend {
 	var changed []*Backend
+	for i := range list {
+		if at := list[i].StartedAt; at > 0 && (e.oldestStart == 0 || at < e.oldestStart) {
+			e.oldestStart = at
+		}
+	}
 	for i := range list {
 		in := &list[i]
 		b := e.backends[in.Name]
@@ -66,12 +106,13 @@
 		}
 		if b == nil || b.StartedAt != in.StartedAt {
 			// The flows of an earlier incarnation have ended with it.
-			b = &Backend{}
+			b = &Backend{seenAt: now, seenInTraffic: e.placed}
 			e.backends[in.Name] = b
 		}
 		if b.apply(in, now) {
 			changed = append(changed, b)
 		}
+		b.evacuated = e.isEvacuated(b.Zone)
 	}
 	if len(changed) > 0 {
 		e.rebuildIndex()
@@ -96,6 +137,7 @@
 	if in.Newer(&b.Incarnation) {
 		b.Incarnation = in.Incarnation
 		b.token = in.Token()
+		b.loadKey = message.NewServerKey(b.token, b.StartedAt)
 		b.warmUntil = now + int64(in.Warmup)
 	}
 	b.silent = in.Silent
@@ -145,6 +187,7 @@
 	})
 	clear(e.tokens)
 	clear(e.services)
+	receiving := list[:0:0]
 	for _, b := range list {
 		if e.tokens[b.token] != nil {
 			continue
@@ -152,8 +195,11 @@
 		e.tokens[b.token] = b
 		if !b.Gone {
 			e.services[b.Service] = append(e.services[b.Service], b)
+			receiving = append(receiving, b)
 		}
 	}
+	e.loads.index(receiving)
+	e.indexPlacement()
 }
 
 // NumBackends returns the number of known incarnations.
--- a/entry/cmd/catkinrail-entry/token.go
+++ b/entry/cmd/catkinrail-entry/token.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"os"
 	"time"
 
@@ -12,6 +13,7 @@
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/entry/follow"
+	"catkinrail.example/catkinrail/entry/load"
 	"catkinrail.example/catkinrail/entry/packet"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/platform"
@@ -44,6 +46,7 @@
 	clock   *clock.System
 	router  *packet.Router
 	client  *follow.Client
+	loads   *load.Client
 	worker  *packet.Worker
 	leaving chan struct{}
 	// reloadSignals receives SIGHUP, at which the settings are read again.
@@ -82,8 +85,12 @@
 		return err
 	}
 	reg := metrics.NewRegistry()
-	d.router = packet.NewRouter(token.New(d.node.Zone, uint64(d.clock.Nanos())), d.clock)
+	d.router = packet.NewRouter(token.New(d.node.Zone, uint64(d.clock.Nanos())), d.clock, clock.Wall{})
 	d.client = follow.New(d.node.Name, d.node.Zone, seedAddrs(d.node), creds, d.clock, d.router, d.log)
+	d.loads = load.New(load.Config{
+		Name: d.node.Name, Zone: d.node.Zone, Process: rand.Uint64(), Creds: creds, Router: d.router, Follow: d.client,
+		Clock: d.clock, Log: d.log, Metrics: reg,
+	})
 	conn, err := udp.Listen(ctx, d.node.Packets)
 	if err != nil {
 		return err
@@ -91,15 +98,17 @@
 	codec := platform.PacketCodec{CallerPort: d.node.Packets.Port()}
 	d.worker = packet.New(d.router, conn, codec, d.clock, d.log, reg)
 	d.worker.SetLink(d.node.LinkBits)
+	d.loads.SetLink(d.node.LinkBits)
 	g.Go(func() error { return d.worker.Run(ctx) })
 	g.Go(func() error { return d.client.Run(ctx) })
+	g.Go(func() error { return d.loads.Run(ctx) })
 	g.Go(func() error {
 		return metricspage.ServeHTTP(ctx, d.node.Readiness.String(), platform.ReadinessHandler(d.ready))
 	})
 	g.Go(func() error {
 		return metricspage.Serve(ctx, d.node.Metrics.String(), "catkinrail_entry", reg, d.ready)
 	})
-	g.Go(func() error { return d.runExpiry(ctx) })
+	g.Go(func() error { return d.runExpiry(ctx, newZoneGauges(reg)) })
 	g.Go(func() error {
 		settings.Watch(ctx, d.file.Name, d.file.Content, d.reloadSignals, d.log, d.reload)
 		return nil
@@ -134,7 +143,8 @@
 	return nil
 }
 
-func (d *tokenDaemon) runExpiry(ctx context.Context) error {
+// runExpiry expires what the engine tracks and updates the gauges of zones, until ctx ends.
+func (d *tokenDaemon) runExpiry(ctx context.Context, zones *zoneGauges) error {
 	t := time.NewTicker(expireInterval)
 	defer t.Stop()
 	for {
@@ -142,7 +152,11 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			d.router.Do(func(e *token.Engine, now int64) { e.Tick(now) })
+			d.router.Do(func(e *token.Engine, now int64) {
+				e.Tick(now)
+				zones.read(e)
+			})
+			zones.update()
 		}
 	}
 }
@@ -166,6 +180,7 @@
 	}
 	d.client.SetSeeds(seedAddrs(n))
 	d.worker.SetLink(n.LinkBits)
+	d.loads.SetLink(n.LinkBits)
 	return nil
 }
 
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -126,12 +126,15 @@
 	var changed []*token.Backend
 	var version uint64
 	backends := 0
-	newer := false
+	newer, evacuations := false, false
 	c.router.Do(func(e *token.Engine, now int64) {
 		changed = e.Update(list, now)
 		if u.Document != nil {
 			newer = e.SetDocument(u.Document)
 		}
+		if u.Evacuations != nil {
+			evacuations = e.SetEvacuations(u.Evacuations)
+		}
 		version, backends = e.Version(), e.NumBackends()
 		if u.Current && u.Complete {
 			e.RecordContact(now)
@@ -140,15 +143,11 @@
 	if newer {
 		c.log.Info().Uint64("version", version).Str("control", s.addr).Msg("document in force")
 	}
-	for _, b := range changed {
-		// Before readiness the whole directory is new. Control logs each backend server.
-		if !c.Ready() && !b.Draining && !b.Gone && !b.Silent() {
-			continue
-		}
-		c.log.Info().Str("backend", b.Name).Str("service", b.Service).Stringer("address", b.Addr).Int64("born", b.StartedAt).
-			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Gone).Bool("silent", b.Silent()).
-			Str("control", s.addr).Msg("backend server changed")
+	if evacuations {
+		c.log.Info().Uint64("revision", u.Evacuations.Revision).Interface("zones", u.Evacuations.Zones).Str("control", s.addr).
+			Msg("evacuations in force")
 	}
+	s.logChanged(changed)
 	if u.State && s.stateUpdates == 1 {
 		c.log.Info().Str("control", s.addr).Bool("current", u.Current).Uint64("version", version).Msg("following control instance")
 	}
@@ -157,3 +156,17 @@
 		c.log.Info().Uint64("version", version).Int("backends", backends).Msg("ready")
 	}
 }
+
+// logChanged logs the backend servers that changed. Before readiness, when the whole
+// directory is new, it leaves out those that are available: control logs each of them.
+func (s *session) logChanged(changed []*token.Backend) {
+	c := s.client
+	for _, b := range changed {
+		if !c.Ready() && !b.Draining && !b.Gone && !b.Silent() {
+			continue
+		}
+		c.log.Info().Str("backend", b.Name).Str("service", b.Service).Stringer("address", b.Addr).Int64("born", b.StartedAt).
+			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Gone).Bool("silent", b.Silent()).
+			Str("control", s.addr).Msg("backend server changed")
+	}
+}
