emulator, place: name sizes instead of a deployment

Cause: nothing in the code should depend on, or read like, one deployment.

Change: comments and a name in replays.

Result: go vet; no behaviour changes.

--- a/coordination/place/hardload_test.go
+++ b/coordination/place/hardload_test.go
@@ -167,7 +167,7 @@
 	s.engines[f.e].Decide(&p, int64(s.now))
 }
 
-// grownShape is a third of the feed and submission service of rnra-carreras-grown in each
+// grownShape is a third of the feed and submission service of a deployment of 133 entry instances in each
 // zone: a fifth of the slots is in use.
 func grownShape(entries int) shape {
 	return shape{
--- a/emulator/cmd/catkinrail-emulator/exchange.go
+++ b/emulator/cmd/catkinrail-emulator/exchange.go
@@ -11,7 +11,7 @@
 )
 
 // exchangeSizes are the sizes at which ways to share loads are compared. The third is
-// rnra-carreras-grown; up to there the links have 1.4 Mbit/s.
+// a grown deployment; up to there the links have 1.4 Mbit/s.
 var exchangeSizes = []exchange.Size{
 	{Instances: 12, Zones: 3, Servers: 36, Flows: 1000, BytesPerSecond: 7000},
 	{Instances: 42, Zones: 3, Servers: 120, Flows: 1000, BytesPerSecond: 7000},
--- a/emulator/exchange/place.go
+++ b/emulator/exchange/place.go
@@ -8,7 +8,7 @@
 )
 
 // The zone of the placement replay: as many entry instances and backend servers as in a
-// zone of rnra-carreras-grown, a flow for each request.
+// zone of a deployment of 133 entry instances, a flow for each request.
 const (
 	placeInstances = 43
 	placeServers   = 50
--- a/emulator/exchange/replay.go
+++ b/emulator/exchange/replay.go
@@ -100,7 +100,7 @@
 
 func newInstance(size *Size, i int, rng *rand.Rand) *instance {
 	n := &instance{rng: rng, zone: i % size.Zones, size: size, counts: map[int]int{}}
-	n.report = message.LoadReport{Name: fmt.Sprintf("front-rnra-carreras-%d", i), Zone: zoneName(n.zone), Process: uint64(i + 1)}
+	n.report = message.LoadReport{Name: fmt.Sprintf("entry-availability-%d", i), Zone: zoneName(n.zone), Process: uint64(i + 1)}
 	for range size.Flows {
 		s := n.pick()
 		n.flows = append(n.flows, s)
