--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,7 +7,7 @@
 	names=$(grep -oE '^test: *Test[A-Za-z0-9_:/-]+' KNOWN-RED.txt | sed 's/^test: *//' | paste -sd'|' || true)
 	if [ -n "$names" ]; then
 		echo "passed over, see KNOWN-RED.txt: $names"
-		# A part of a test is given as TestName/part; each level is matched whole.
+		# A part of a test stands behind a slash; each level is matched whole.
 		skip=(-skip "$(sed 's#[^/|]*#^&$#g' <<<"$names")")
 	fi
 fi
