--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -25,6 +25,7 @@
 	"catkinrail.example/catkinrail/control/operator"
 	"catkinrail.example/catkinrail/control/voter"
 	"catkinrail.example/catkinrail/control/warmup"
+	"catkinrail.example/catkinrail/coordination/membership"
 	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
@@ -200,7 +201,7 @@
 	c, err := core.New(core.Config{
 		ID: d.identity.Node, Name: d.cfg.Name, Timing: timing, Lease: d.cfg.Lease,
 		Seed: rand.Uint64(), Clock: clk, Log: d.log, Journal: j, Stored: stored, Send: voters.Send, Reconnect: voters.Reconnect,
-		EvictAfter: d.cfg.EvictAfter,
+		Membership: membership.Policy{EvictAfter: d.cfg.EvictAfter},
 		Reopen:     func() (*journal.Journal, quorum.Stored, error) { return journal.Open(d.dir) },
 	})
 	if err != nil {
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/membership"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/logs"
@@ -84,9 +85,8 @@
 	// Reopen opens the journal again after a failure. If it is nil, the failure
 	// ends Run.
 	Reopen func() (*journal.Journal, quorum.Stored, error)
-	// EvictAfter is the time without an answer after which the leader removes a
-	// member; zero disables removal.
-	EvictAfter time.Duration
+	// Membership decides which instances are voters.
+	Membership membership.Policy
 	// Send sends messages to other control instances. It must not block.
 	Send func([]quorum.Message, *quorum.Members)
 	// Reconnect, unless nil, drops the pending calls to a control instance that has just
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail"
+	"catkinrail.example/catkinrail/coordination/membership"
 	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/plan"
 	"catkinrail.example/catkinrail/coordination/quorum"
@@ -74,7 +75,7 @@
 	require.NoError(tc.t, err)
 	c, err := New(Config{
 		ID: id, Name: fmt.Sprint("control-", id), Timing: tc.timing, Lease: time.Second, Seed: uint64(id),
-		EvictAfter: tc.evictAfter, Reopen: func() (*journal.Journal, quorum.Stored, error) { return journal.Open(tc.disks[id]) },
+		Membership: membership.Policy{EvictAfter: tc.evictAfter}, Reopen: func() (*journal.Journal, quorum.Stored, error) { return journal.Open(tc.disks[id]) },
 		Clock: tc.clock, Log: logs.Discard(), Journal: j, Stored: stored,
 		Send: func(list []quorum.Message, _ *quorum.Members) { tc.messages = append(tc.messages, list...) },
 	})
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 
 	"catkinrail.example/catkinrail"
@@ -171,29 +170,3 @@
 		return true
 	})
 }
-
-// evictSilent removes, on the leader, a member that has not answered for
-// EvictAfter. Otherwise lost instances would stay voters for ever, and the quorum
-// would survive fewer further failures. An instance that comes back joins again.
-func (c *Core) evictSilent() {
-	if c.cfg.EvictAfter <= 0 || !c.leader.active {
-		return
-	}
-	m := c.node.Members()
-	for _, id := range cluster.SortedKeys(m.Nodes) {
-		if id == c.node.ID() || c.node.SinceLastContact(id) < int64(c.cfg.EvictAfter) {
-			continue
-		}
-		silent := c.node.SinceLastContact(id)
-		next := m.Clone()
-		delete(next.Nodes, id)
-		delete(next.Learners, id)
-		err := c.node.ChangeMembers(next)
-		if errors.Is(err, quorum.ErrMembersChange) {
-			return
-		}
-		c.cfg.Log.Info().Str("member", m.Nodes[id].Name).Uint64("node", uint64(id)).
-			Int64("silent-ms", silent/1e6).Err(err).Msg("removing silent member")
-		return
-	}
-}
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -13,10 +13,6 @@
 // again later.
 var ErrRetryLater = errors.New("retry later")
 
-// maxPromotionLag is the number of entries by which a learner may lag behind when it
-// becomes a voter.
-const maxPromotionLag = 16
-
 // Hello returns the identity of this instance and the index of its last entry.
 func (c *Core) Hello(ctx context.Context) (*message.HelloReply, error) {
 	reply := &message.HelloReply{}
@@ -49,9 +45,7 @@
 	return s.Members.Nodes[s.Node].Features == self.Features
 }
 
-// Join takes one step towards a vote for an instance: it is added as a learner,
-// then an earlier member with its name or address is removed, and once it has caught
-// up it becomes a voter. A voter whose name or addresses changed is updated. The
+// Join takes one step towards a vote for an instance, see membership.Policy. The
 // reply holds the members, which the instance needs in order to answer their
 // messages, and the leader, which may be none of the instance's seeds. An instance
 // that doesn't lead replies with these alone.
@@ -83,29 +77,12 @@
 // joinStep takes the next step of a join. It returns nil if nothing is left to do,
 // and ErrRetryLater if the request must be sent again.
 func (c *Core) joinStep(req *message.JoinRequest) error {
-	m := c.node.Members()
-	if m.Voter(req.Node) && m.Nodes[req.Node] == req.Peer {
+	next, done := c.cfg.Membership.Join(c.node, req.Node, req.Peer)
+	if done {
 		return nil
 	}
-	next := m.Clone()
-	switch {
-	case m.Voter(req.Node):
-		next.Nodes[req.Node] = req.Peer
-	case !m.Learners[req.Node]:
-		next.Nodes[req.Node] = req.Peer
-		next.Learners[req.Node] = true
-	case memberToReplace(m, req) != 0:
-		old := memberToReplace(m, req)
-		if m.Voter(old) && c.node.MatchIndex(req.Node)+maxPromotionLag < c.node.LastIndex() {
-			return ErrRetryLater
-		}
-		delete(next.Nodes, old)
-		delete(next.Learners, old)
-	default:
-		if c.node.MatchIndex(req.Node)+maxPromotionLag < c.node.LastIndex() {
-			return ErrRetryLater
-		}
-		delete(next.Learners, req.Node)
+	if next == nil {
+		return ErrRetryLater
 	}
 	if err := c.node.ChangeMembers(next); err != nil && !errors.Is(err, quorum.ErrMembersChange) {
 		return err
@@ -113,13 +90,21 @@
 	return ErrRetryLater
 }
 
-// memberToReplace returns another member with the joining instance's name or
-// address, or zero if there is none.
-func memberToReplace(m *quorum.Members, req *message.JoinRequest) quorum.NodeID {
-	for id, p := range m.Nodes {
-		if id != req.Node && (p.Name == req.Peer.Name || p.Addr == req.Peer.Addr) {
-			return id
-		}
+// evictSilent removes, on the leader, a member that has been silent for too long. An
+// instance that comes back joins again.
+func (c *Core) evictSilent() {
+	if !c.leader.active {
+		return
+	}
+	id, next := c.cfg.Membership.Evict(c.node)
+	if next == nil {
+		return
+	}
+	silent, name := c.node.SinceLastContact(id), c.node.Members().Nodes[id].Name
+	err := c.node.ChangeMembers(next)
+	if errors.Is(err, quorum.ErrMembersChange) {
+		return
 	}
-	return 0
+	c.cfg.Log.Info().Str("member", name).Uint64("node", uint64(id)).
+		Int64("silent-ms", silent/1e6).Err(err).Msg("removing silent member")
 }
--- /dev/null
+++ b/coordination/membership/membership.go
@@ -0,0 +1,97 @@
+// Package membership decides which control instances are voters of the quorum, as
+// instances are added, lose their disks, are replaced, and fall silent for a while or for
+// good. It proposes one change at a time, from what the leader's node knows.
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"catkinrail.example/catkinrail/coordination/quorum"
+)
+
+// maxPromotionLag is the number of entries by which a learner may lag behind when it
+// becomes a voter.
+const maxPromotionLag = 16
+
+// Policy holds the limits of the decisions.
+type Policy struct {
+	// EvictAfter is the time without an answer after which a member is removed; zero
+	// disables removal.
+	EvictAfter time.Duration
+}
+
+// Join returns the members to propose as the next step towards a vote for an instance, or
+// nil if none can be proposed yet. An instance is added as a learner, then an earlier member
+// with its name or address is removed, and once it has caught up it becomes a voter. A voter
+// whose name or addresses changed is updated. done is set if nothing is left to do.
+func (p Policy) Join(n *quorum.Node, id quorum.NodeID, peer quorum.Peer) (next *quorum.Members, done bool) {
+	m := n.Members()
+	if m.Voter(id) && m.Nodes[id] == peer {
+		return nil, true
+	}
+	next = m.Clone()
+	switch {
+	case m.Voter(id):
+		next.Nodes[id] = peer
+	case !m.Learners[id]:
+		next.Nodes[id] = peer
+		next.Learners[id] = true
+	case predecessor(m, id, peer) != 0:
+		old := predecessor(m, id, peer)
+		if m.Voter(old) && !caughtUp(n, id) {
+			return nil, false
+		}
+		delete(next.Nodes, old)
+		delete(next.Learners, old)
+	default:
+		if !caughtUp(n, id) {
+			return nil, false
+		}
+		delete(next.Learners, id)
+	}
+	return next, false
+}
+
+func caughtUp(n *quorum.Node, id quorum.NodeID) bool {
+	return n.MatchIndex(id)+maxPromotionLag >= n.LastIndex()
+}
+
+// predecessor returns another member with the instance's name or address, or zero if there
+// is none.
+func predecessor(m *quorum.Members, id quorum.NodeID, peer quorum.Peer) quorum.NodeID {
+	for other, p := range m.Nodes {
+		if other != id && (p.Name == peer.Name || p.Addr == peer.Addr) {
+			return other
+		}
+	}
+	return 0
+}
+
+// Evict returns a member that must be removed because it has been silent, and the members
+// without it, or nil if there is none.
+func (p Policy) Evict(n *quorum.Node) (id quorum.NodeID, next *quorum.Members) {
+	if p.EvictAfter <= 0 {
+		return 0, nil
+	}
+	m := n.Members()
+	for _, id := range sortedNodes(m) {
+		if id == n.ID() || n.SinceLastContact(id) < int64(p.EvictAfter) {
+			continue
+		}
+		next := m.Clone()
+		delete(next.Nodes, id)
+		delete(next.Learners, id)
+		return id, next
+	}
+	return 0, nil
+}
+
+func sortedNodes(m *quorum.Members) []quorum.NodeID {
+	list := make([]quorum.NodeID, 0, len(m.Nodes))
+	for id := range m.Nodes {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
