core: limit the changes that are kept in bytes, and keep one document

Cause: every applied change was kept, up to 8,192, each with its decoded document and source. With 243 routes none exceeded 155 MB, which rules out a leak outside of the documents.

Change: of all documents the last is kept, changes are limited to 4 MiB of their encoding, and a proposal that nobody waits for lets go of its document.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,9 +27,6 @@
 	tickInterval = 10 * time.Millisecond
 	// planInterval is the least time between two planning rounds of the leader.
 	planInterval = 50 * time.Millisecond
-	// maxChanges is the number of recent changes that are kept for entry instances
-	// that lag behind. Up to twice as many are held between two trims.
-	maxChanges = 4096
 	// maxLogEntries is the length of the log, in entries, from which a snapshot
 	// replaces it.
 	maxLogEntries = 8192
@@ -99,12 +97,11 @@
 type Core struct {
 	cfg Config
 	// inbox queues calls for the goroutine of Run.
-	inbox  chan func()
-	node   *quorum.Node
-	state  *cluster.State
-	leader leaderState
-	// changes are the latest applied changes, in order.
-	changes []cluster.Change
+	inbox   chan func()
+	node    *quorum.Node
+	state   *cluster.State
+	leader  leaderState
+	changes changeLog
 	// changed is closed and replaced after each change.
 	changed chan struct{}
 	// pending are the proposals that are not in the log yet.
@@ -126,8 +123,11 @@
 // proposal is a change of the cluster state that is not committed yet: it waits to be
 // appended to the log, or its entry is in the log.
 type proposal struct {
-	// evaluate returns the events to propose, and the answer to the request.
-	evaluate func(*cluster.State) ([]cluster.Event, *cluster.Answer, error)
+	// mu guards evaluate.
+	mu sync.Mutex
+	// evaluate returns the events to propose, and the answer to the request. It is nil once it
+	// has been called or nobody waits for the proposal any more: it may hold a large document.
+	evaluate evaluateFunc
 	answer   *cluster.Answer
 	// confirm is set if a majority must confirm the leader before the result of a proposal
 	// without events is given.
@@ -139,6 +139,18 @@
 	term  uint64
 }
 
+// evaluateFunc returns the events to propose for a request and the answer to it.
+type evaluateFunc func(*cluster.State) ([]cluster.Event, *cluster.Answer, error)
+
+// take returns the function that evaluates the proposal, or nil if it was taken before.
+func (p *proposal) take() evaluateFunc {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f := p.evaluate
+	p.evaluate = nil
+	return f
+}
+
 // Result is the outcome of a proposal.
 type Result struct {
 	Answer *cluster.Answer
@@ -296,7 +308,7 @@
 		return err
 	}
 	c.state = fresh
-	c.changes = nil
+	c.changes = changeLog{}
 	c.notify()
 	return nil
 }
@@ -340,34 +352,27 @@
 func (c *Core) skip(e *quorum.Entry) {
 	change := cluster.Change{Version: c.state.Version + 1}
 	c.state.Version = change.Version
-	c.keepChange(change)
+	c.changes.add(change, 0)
 	c.notify()
 	c.resolveInFlight(e)
 }
 
 func (c *Core) apply(e *quorum.Entry) error {
 	if e.Kind == quorum.EntryData {
-		var change cluster.Change
-		if err := cluster.DecodeCompressed(e.Data, &change); err != nil {
+		change, size, err := cluster.DecodeChange(e.Data)
+		if err != nil {
 			return err
 		}
 		if err := c.state.Apply(change); err != nil {
 			return err
 		}
-		c.keepChange(change)
+		c.changes.add(change, size)
 		c.notify()
 	}
 	c.resolveInFlight(e)
 	return nil
 }
 
-func (c *Core) keepChange(change cluster.Change) {
-	c.changes = append(c.changes, change)
-	if len(c.changes) > 2*maxChanges {
-		c.changes = append([]cluster.Change(nil), c.changes[len(c.changes)-maxChanges:]...)
-	}
-}
-
 func (c *Core) notify() {
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -464,11 +469,16 @@
 	return &LeaderError{Leader: m.Nodes[c.node.LeaderID()].Addr}
 }
 
-// propose evaluates the proposal against the applied state and appends its entry
+// propose evaluates the proposal, unless nobody waits for it any more, against the applied state and appends its entry
 // to the log. The applied state is the latest since only one proposal is in
 // flight at a time.
 func (c *Core) propose(p *proposal) {
-	events, answer, err := p.evaluate(c.state)
+	evaluate := p.take()
+	if evaluate == nil {
+		p.finish(Result{Err: ErrUnknown})
+		return
+	}
+	events, answer, err := evaluate(c.state)
 	if err == nil {
 		err = c.checkFeatures(events)
 	}
@@ -496,12 +506,14 @@
 
 // Submit proposes the events that evaluate returns and waits until they are
 // applied. If evaluate returns no events, its answer is returned at once.
-func (c *Core) Submit(ctx context.Context, evaluate func(*cluster.State) ([]cluster.Event, *cluster.Answer, error)) (*cluster.Answer, error) {
+func (c *Core) Submit(ctx context.Context, evaluate evaluateFunc) (*cluster.Answer, error) {
 	return c.submit(ctx, &proposal{evaluate: evaluate, done: make(chan Result, 1)})
 }
 
-// submit queues a proposal and waits for its result.
+// submit queues a proposal and waits for its result. If ctx ends first, the proposal is dropped
+// unless it has been evaluated.
 func (c *Core) submit(ctx context.Context, p *proposal) (*cluster.Answer, error) {
+	defer p.take()
 	if err := c.do(ctx, func() { c.pending = append(c.pending, p) }); err != nil {
 		if errors.Is(err, ErrNotLeader) {
 			return nil, err
@@ -539,7 +551,7 @@
 }
 
 // evaluatePlan adapts a function that plans events to a proposal.
-func evaluatePlan(events func(*cluster.State) []cluster.Event) func(*cluster.State) ([]cluster.Event, *cluster.Answer, error) {
+func evaluatePlan(events func(*cluster.State) []cluster.Event) evaluateFunc {
 	return func(s *cluster.State) ([]cluster.Event, *cluster.Answer, error) {
 		return events(s), nil, nil
 	}
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -287,7 +288,7 @@
 				require.NoError(t, tc.command(create(fmt.Sprint("r", i), fmt.Sprint("service-", i), fmt.Sprintf("192.0.2.%d:443", i+1))).Err)
 			}
 			if tt.dropChanges {
-				c.changes = nil
+				c.changes = changeLog{}
 			}
 			r, err := c.heartbeat(&message.Heartbeat{ID: id})
 			require.NoError(t, err)
@@ -315,3 +316,20 @@
 	require.Empty(t, done)
 	require.Empty(t, c.state.Services)
 }
+
+// TestAbandonedProposalsHoldNoDocument guards against documents that pile up in the queue of an
+// instance that stands still, beyond its memory: nobody waits for them any more.
+func TestAbandonedProposalsHoldNoDocument(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	c := tc.leader()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p := &proposal{evaluate: putDocument(doc(5, "a")), done: make(chan Result, 1)}
+	_, err := c.submit(ctx, p)
+	require.ErrorIs(t, err, ErrUnknown)
+	require.Nil(t, p.evaluate)
+	c.pending = append(c.pending, p)
+	tc.run(100 * time.Millisecond)
+	require.ErrorIs(t, (<-p.done).Err, ErrUnknown)
+	require.Nil(t, c.Published().Document)
+}
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -99,7 +99,7 @@
 }
 
 // putDocument returns the evaluate function of a proposal that puts the document.
-func putDocument(d *catkinrail.Document) func(*cluster.State) ([]cluster.Event, *cluster.Answer, error) {
+func putDocument(d *catkinrail.Document) evaluateFunc {
 	return func(s *cluster.State) ([]cluster.Event, *cluster.Answer, error) {
 		if s.Document != nil && s.Document.Version >= d.Version {
 			return nil, nil, nil
--- a/control/core/leader.go
+++ b/control/core/leader.go
@@ -346,9 +346,8 @@
 	if have >= c.state.Version {
 		return nil, nil
 	}
-	if len(c.changes) > 0 && c.changes[0].Version <= have+1 {
-		from := have + 1 - c.changes[0].Version
-		return slices.Clone(c.changes[from:]), nil
+	if list, ok := c.changes.since(have); ok {
+		return list, nil
 	}
 	s := *c.state
 	// Entry instances don't need the answers to operators' requests.
--- a/control/core/recover.go
+++ b/control/core/recover.go
@@ -23,7 +23,7 @@
 		}
 	}
 	c.state = state
-	c.changes = nil
+	c.changes = changeLog{}
 	c.leader.active = false
 	c.node = quorum.New(c.cfg.ID, c.cfg.Timing, c.cfg.Seed, c.cfg.Stored, c.now())
 	c.publish()
--- a/control/core/watch.go
+++ b/control/core/watch.go
@@ -8,7 +8,8 @@
 
 // Watch calls f with each change that this instance applies from now on, until
 // ctx ends or f fails. It skips changes that are no longer kept when it reaches
-// them, or that this instance got as part of a snapshot.
+// them, or that this instance got as part of a snapshot, and documents that a later one
+// has replaced.
 func (c *Core) Watch(ctx context.Context, f func(*cluster.Change) error) error {
 	var have uint64
 	if err := c.do(ctx, func() { have = c.state.Version }); err != nil {
@@ -19,11 +20,7 @@
 		var changed chan struct{}
 		err := c.do(ctx, func() {
 			changed = c.changed
-			for _, change := range c.changes {
-				if change.Version > have {
-					list = append(list, change)
-				}
-			}
+			list = c.changes.after(have)
 		})
 		if err != nil {
 			return err
--- a/emulator/cmd/catkinrail-emulator/main.go
+++ b/emulator/cmd/catkinrail-emulator/main.go
@@ -26,7 +26,7 @@
 // run runs the subcommand and returns the exit code.
 func run() int {
 	app := kingpin.New("catkinrail-emulator", "Emulates callers, the fabric and backend servers.")
-	commands := []command{backendsCommand(app), loadCommand(app), measureCommand(app), benchCommand(app), controlCommand(app), capacityCommand(app), exchangeCommand(app), platformNodeCommand(app), platformRunCommand(app), proxyCommand(app)}
+	commands := []command{backendsCommand(app), loadCommand(app), measureCommand(app), benchCommand(app), controlCommand(app), capacityCommand(app), exchangeCommand(app), platformNodeCommand(app), platformRunCommand(app), platformDocumentsCommand(app), proxyCommand(app)}
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/state/cluster/codec.go
+++ b/state/cluster/codec.go
@@ -117,12 +117,28 @@
 
 // DecodeCompressed decodes an encoding, compressed or not, into v.
 func DecodeCompressed(b []byte, v any) error {
-	if len(b) == 0 || b[0] != compressedMark {
-		return Decode(b, v)
-	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b[1:])), maxDecompressed))
+	plain, err := decompress(b)
 	if err != nil {
 		return fmt.Errorf("decompress %T: %w", v, err)
 	}
 	return Decode(plain, v)
 }
+
+// DecodeChange decodes a change, and returns the size of its encoding before compression in
+// bytes.
+func DecodeChange(b []byte) (c Change, size int, err error) {
+	plain, err := decompress(b)
+	if err != nil {
+		return c, 0, fmt.Errorf("decompress change: %w", err)
+	}
+	err = Decode(plain, &c)
+	return c, len(plain), err
+}
+
+// decompress returns the encoding that b holds, compressed or not.
+func decompress(b []byte) ([]byte, error) {
+	if len(b) == 0 || b[0] != compressedMark {
+		return b, nil
+	}
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b[1:])), maxDecompressed))
+}
