quorum: limit the entries of an append in bytes

A follower that is behind by large documents got up to 256 entries in one message, 12 MB in the test and more than a call of 1 s can carry on a link of the platform; it would have been sent again and again.

Change: a message carries entries until their data reaches 1 MiB.

--- a/coordination/quorum/log.go
+++ b/coordination/quorum/log.go
@@ -50,6 +50,18 @@
 	return append([]Entry(nil), part...)
 }
 
+// batch returns a copy of the entries for an Append, starting at index from.
+func (l *log) batch(from uint64) []Entry {
+	list := l.slice(from, maxAppendEntries)
+	size := 0
+	for i := range list {
+		if size += len(list[i].Data); size >= maxAppendBytes {
+			return list[:i+1]
+		}
+	}
+	return list
+}
+
 // append adds consecutive entries and truncates the log at the first entry that
 // conflicts with them. Entries that the log already has are kept.
 func (l *log) append(entries []Entry) {
--- a/coordination/quorum/node.go
+++ b/coordination/quorum/node.go
@@ -44,8 +44,10 @@
 
 // Limits of messages and timing.
 const (
-	// maxAppendEntries is the maximum number of entries in an Append.
+	// maxAppendEntries is the maximum number of entries in an Append, maxAppendBytes the size
+	// of their data from which no further one is added.
 	maxAppendEntries = 256
+	maxAppendBytes   = 1 << 20
 	// maxClockDriftPercent is the difference in clock rates that leases allow for.
 	maxClockDriftPercent = 10
 	// startupElectionDivisor divides the election timeout to give the minimum time
--- a/coordination/quorum/quorum_test.go
+++ b/coordination/quorum/quorum_test.go
@@ -342,6 +342,34 @@
 	require.Equal(t, 3, g.leader().node.Members().Voters())
 }
 
+// TestAppendsAreLimitedInBytes guards against a follower that is behind by many large entries and
+// gets all of them in one message: sending that takes longer than a call may, again and again.
+func TestAppendsAreLimitedInBytes(t *testing.T) {
+	g := newTestGroup(t, 3, 9, 0)
+	g.run(3 * time.Second)
+	lead := g.leader()
+	behind := g.members[lead.id%3+1]
+	g.crash(behind)
+	const large = 300_000
+	for range 40 {
+		_, _, err := lead.node.Propose(make([]byte, large), 0)
+		require.NoError(t, err)
+		g.run(20 * time.Millisecond)
+	}
+	g.start(behind)
+	for range 600 {
+		g.run(time.Duration(tickInterval))
+		for _, m := range g.inFlight {
+			size := 0
+			for _, e := range m.Entries {
+				size += len(e.Data)
+			}
+			require.Less(t, size, 2<<20)
+		}
+	}
+	require.Equal(t, lead.node.CommitIndex(), behind.node.CommitIndex())
+}
+
 func TestMembersChangeOneAtATime(t *testing.T) {
 	g := newTestGroup(t, 3, 6, 0)
 	g.run(3 * time.Second)
--- a/coordination/quorum/replicate.go
+++ b/coordination/quorum/replicate.go
@@ -25,7 +25,7 @@
 	}
 	m := Message{
 		Kind: Append, To: to, Term: n.hard.Term, Index: prev, LogTerm: term,
-		Entries: n.log.slice(p.next, maxAppendEntries), Commit: n.log.commit, Sent: n.now,
+		Entries: n.log.batch(p.next), Commit: n.log.commit, Sent: n.now,
 	}
 	n.send(m)
 	// Later entries are sent without waiting for the answer; a rejection resets next.
