warmup: bear any rate that a valid document gives

Cause: the time between two packets was rounded to 0 ns and divided by. Very low rates gave a time beyond an int64, whose conversion depends on the processor.

Change: the time is from 1 ns to 24 h.

--- a/coordination/warmup/lender.go
+++ b/coordination/warmup/lender.go
@@ -187,7 +187,7 @@
 		s.Server, s.listed = *in, true
 		s.budget = l.tolerance.Budget(in.Rate)
 		// The mean is kept at the rate; what is tolerated beyond it is for single seconds.
-		s.gap = int64(float64(time.Second) / in.Rate)
+		s.gap = gapOf(in.Rate)
 		g := group{in.Service, in.Zone}
 		l.groups[g] = append(l.groups[g], s)
 		if !slices.Contains(l.zones, in.Zone) {
@@ -297,6 +297,15 @@
 	return list, sum
 }
 
+// maxGap limits the time between two opening packets to a cold backend server. No warm-up is as
+// long.
+const maxGap = 24 * time.Hour
+
+// gapOf returns the nanoseconds between two opening packets at a rate, at least one.
+func gapOf(rate float64) int64 {
+	return int64(min(max(float64(time.Second)/rate, 1), float64(maxGap)))
+}
+
 // shareDivisor is the part of the available flows that one request gets: with all of them,
 // an instance that asks just after another would get none; with fewer, more of the rate
 // would wait for the next request.
--- a/coordination/warmup/warmup_test.go
+++ b/coordination/warmup/warmup_test.go
@@ -1,6 +1,8 @@
 package warmup_test
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -76,6 +78,19 @@
 	}
 }
 
+// TestExtremeRates guards against rates of a valid document that leave no whole nanosecond between
+// two packets, or more than fit: both ended the instance or lent without a limit.
+func TestExtremeRates(t *testing.T) {
+	for _, rate := range []float64{5e-324, 1e-300, 1, 1e9 + 1, 4_294_967_295, 1e300, math.MaxFloat64} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			l := settledLender("c1", voters, coldServer("a", rate))
+			budget := tolerance.Budget(rate)
+			require.LessOrEqual(t, lent(l.Lend(want(1, 1, 1<<20), settled)), budget)
+			require.LessOrEqual(t, lent(l.Lend(want(1, 2, 1<<20), settled+1)), budget)
+		})
+	}
+}
+
 // TestLendsOnlyOnceSettled guards against loans beside those of a predecessor, or of this
 // instance before it restarted or was cut off.
 func TestLendsOnlyOnceSettled(t *testing.T) {
