directory: end nobody by another writer's report, and take ends back

Cause: the report passed for a reuse of the address, and the end that was concluded from it was stored as final. Sent without the report nothing breaks, which rules out the routing of the packets.

--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -20,7 +20,9 @@
 	minPeers     = 1
 	// defaultSilentAfter allows for two lost reports.
 	defaultSilentAfter = 4 * time.Second
-	maxPeers           = 7
+	// defaultReuseAfter is above the time between two reports of a backend server.
+	defaultReuseAfter = 2 * time.Second
+	maxPeers          = 7
 	// maxWarmupOverage and maxWarmupSlack are above any sensible tolerance.
 	maxWarmupOverage = 100
 	maxWarmupSlack   = 10_000
@@ -56,6 +58,9 @@
 	// SilentAfter is the time without a report after which a backend server gets
 	// no new flows.
 	SilentAfter time.Duration `yaml:"silent-after"`
+	// ReuseAfter is the least time between the end of a backend server and the reuse of its
+	// address by another.
+	ReuseAfter time.Duration `yaml:"reuse-after"`
 	// NoLeases is set if all entry instances route by token and need no leases. The
 	// control instances then elect a leader sooner after all of them have stopped.
 	NoLeases bool `yaml:"no-leases"`
@@ -136,10 +141,13 @@
 	if s.SilentAfter == 0 {
 		s.SilentAfter = defaultSilentAfter
 	}
+	if s.ReuseAfter == 0 {
+		s.ReuseAfter = defaultReuseAfter
+	}
 	for _, f := range []struct {
 		field string
 		value time.Duration
-	}{{"evict-after", s.EvictAfter}, {"silent-after", s.SilentAfter}} {
+	}{{"evict-after", s.EvictAfter}, {"silent-after", s.SilentAfter}, {"reuse-after", s.ReuseAfter}} {
 		if f.value < 0 {
 			add(f.field, "must not be negative")
 		}
--- a/control/follow/feed.go
+++ b/control/follow/feed.go
@@ -67,7 +67,7 @@
 	}
 	u := &message.FollowUpdate{Backends: make([]message.FollowedBackend, len(list))}
 	for i := range list {
-		u.Backends[i] = message.FollowedBackend{Incarnation: list[i].Incarnation, Silent: list[i].Silent}
+		u.Backends[i] = message.FollowedBackend{Incarnation: list[i].Incarnation, Silent: list[i].Silent, Superseded: list[i].Superseded}
 	}
 	body, err := cluster.EncodeCompressed(u)
 	if err != nil {
--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -57,6 +57,11 @@
 	// SilentAfter is the time without a report after which a backend server counts as
 	// silent.
 	SilentAfter time.Duration
+	// ReuseAfter is the least time between the end of a backend server and the reuse of its
+	// address.
+	ReuseAfter time.Duration
+	// Document returns the document in force here, nil if none is known; it must not block.
+	Document func() *catkinrail.Document
 	// Members returns the members that this instance knows; it must not block.
 	Members func() *quorum.Members
 	// Dir is where the directory is saved; nil disables saving.
@@ -78,6 +83,9 @@
 	exchanged bool
 	// loads is nil if no loads are exchanged.
 	loads Loads
+	// document is the one whose services are in services.
+	document *catkinrail.Document
+	services map[string]bool
 	// peersKnown is set once the list of peers has been read for the first time.
 	peersKnown bool
 }
@@ -95,11 +103,31 @@
 
 // New returns a directory that is restored from disk if it has been saved.
 func New(cfg Config) *Directory {
-	d := &Directory{cfg: cfg, dir: directory.New(cfg.SilentAfter), peers: map[string]*peer{}, changed: make(chan struct{})}
+	d := &Directory{cfg: cfg, peers: map[string]*peer{}, changed: make(chan struct{})}
+	d.dir = directory.New(directory.Config{SilentAfter: cfg.SilentAfter, ReuseAfter: cfg.ReuseAfter, Known: d.knowsService})
 	d.load()
 	return d
 }
 
+// knowsService reports whether the document in force names the service. Without a document all
+// services are taken for known. The caller holds mu.
+func (d *Directory) knowsService(name string) bool {
+	if d.cfg.Document == nil {
+		return true
+	}
+	doc := d.cfg.Document()
+	if doc == nil {
+		return true
+	}
+	if doc != d.document {
+		d.document, d.services = doc, make(map[string]bool, len(doc.Services))
+		for _, service := range doc.Services {
+			d.services[service] = true
+		}
+	}
+	return d.services[name]
+}
+
 // ExchangeLoads makes the directory exchange loads with the other control instances. It
 // must be called before Start.
 func (d *Directory) ExchangeLoads(l Loads) {
@@ -120,7 +148,7 @@
 func (d *Directory) Report(inc *catkinrail.Incarnation) netip.AddrPort {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	outcome := d.dir.Report(inc, d.now(), true)
+	outcome := d.dir.Report(inc, d.now(), directory.FromServer)
 	if outcome == directory.Changed {
 		d.logIncarnation(inc, "backend server changed", d.cfg.Self.Name)
 		d.notifyChange()
@@ -170,7 +198,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	d.merge(g.Changed, "gossip", now)
+	source := directory.FromPeer
+	if g.Full {
+		source = directory.FromCopy
+	}
+	d.merge(g.Changed, source, "gossip", now)
 	r := &message.GossipReply{}
 	for _, p := range g.Renewals {
 		if !d.dir.Renew(p.Name, p.StartedAt, p.Sequence, p.Draining, now) {
@@ -199,10 +231,10 @@
 
 // merge applies incarnations that another instance has forwarded. The caller
 // holds mu.
-func (d *Directory) merge(list []catkinrail.Incarnation, from string, now int64) {
+func (d *Directory) merge(list []catkinrail.Incarnation, source directory.Source, from string, now int64) {
 	changed := false
 	for i := range list {
-		if d.dir.Report(&list[i], now, false) == directory.Changed {
+		if d.dir.Report(&list[i], now, source) == directory.Changed {
 			d.logIncarnation(&list[i], "backend server changed", from)
 			changed = true
 		}
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -11,6 +11,7 @@
 	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/state/directory"
 	"catkinrail.example/catkinrail/transport/clock"
 	"catkinrail.example/catkinrail/transport/rpc"
 )
@@ -205,7 +206,7 @@
 func (d *Directory) applyReply(p *peer, g *message.Gossip, reply *message.GossipReply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.merge(reply.All, p.addr, d.now())
+	d.merge(reply.All, directory.FromCopy, p.addr, d.now())
 	switch {
 	case g.Full:
 		p.needFull, p.mismatches = false, 0
--- a/control/gossip/save.go
+++ b/control/gossip/save.go
@@ -10,6 +10,7 @@
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/state/cluster"
+	"catkinrail.example/catkinrail/state/directory"
 	"catkinrail.example/catkinrail/state/journal"
 	"catkinrail.example/catkinrail/transport/clock"
 )
@@ -41,7 +42,7 @@
 	}
 	now := d.now()
 	for i := range list {
-		d.dir.Report(&list[i], now, false)
+		d.dir.Report(&list[i], now, directory.FromCopy)
 	}
 	d.cfg.Log.Info().Int("backends", len(list)).Msg("directory read from disk")
 }
--- a/control/load/server.go
+++ b/control/load/server.go
@@ -179,11 +179,11 @@
 
 func (s *Server) update(v *directory.View) {
 	k := message.NewServerKey(v.Token(), v.StartedAt)
-	if old, ok := s.keys[v.Name]; ok && (old != k || v.Gone) {
+	if old, ok := s.keys[v.Name]; ok && (old != k || v.Ended()) {
 		delete(s.keys, v.Name)
 		s.table.RemoveServer(old)
 	}
-	if v.Gone {
+	if v.Ended() {
 		return
 	}
 	server := load.Server{Key: k, Zone: v.Zone, Service: v.Service, Slots: v.Slots}
--- a/control/operator/directory.go
+++ b/control/operator/directory.go
@@ -55,7 +55,7 @@
 
 func reportingState(v *directory.View) string {
 	switch {
-	case v.Gone:
+	case v.Ended():
 		return "gone"
 	case v.Silent:
 		return "silent"
--- a/control/warmup/server.go
+++ b/control/warmup/server.go
@@ -82,6 +82,8 @@
 // backend is a backend server that may be cold.
 type backend struct {
 	catkinrail.Incarnation
+	// ended is set once it has ended or its address was reused.
+	ended bool
 	// warmUntil is the end of its warm-up by its reports, seenAt the time at which this
 	// instance first heard of it.
 	warmUntil, seenAt int64
@@ -186,7 +188,7 @@
 			b = &backend{seenAt: now}
 			s.backends[in.Name] = b
 		}
-		b.Incarnation = *in
+		b.Incarnation, b.ended = *in, list[i].Ended()
 		b.warmUntil = max(b.warmUntil, now+int64(in.Warmup))
 	}
 }
@@ -200,7 +202,7 @@
 	}
 	for _, b := range s.backends {
 		l := p.Document.Limits[b.Service]
-		if !l.LimitsWarmup() || b.Gone {
+		if !l.LimitsWarmup() || b.ended {
 			continue
 		}
 		if !slices.Contains(zones, b.Zone) {
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -159,6 +159,8 @@
 	catkinrail.Incarnation
 	// Silent is set while the backend server doesn't report.
 	Silent bool `cbor:"20,keyasint,omitempty"`
+	// Superseded is set while another incarnation holds its address.
+	Superseded bool `cbor:"21,keyasint,omitempty"`
 }
 
 // FollowUpdate is one update from a control instance to an entry instance.
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -162,8 +162,12 @@
 // Backend is an incarnation with what this instance has observed of it.
 type Backend struct {
 	catkinrail.Incarnation
-	token     catkinrail.Token
-	silent    bool
+	token  catkinrail.Token
+	silent bool
+	// superseded is set while control takes another incarnation for the holder of the address.
+	superseded bool
+	// named is set if the document names the service.
+	named     bool
 	warmUntil int64
 	pending   int
 	// pendingHandshakes is the number of flows whose handshake isn't complete. They
@@ -196,6 +200,9 @@
 // Silent reports whether control receives no reports from the backend server.
 func (b *Backend) Silent() bool { return b.silent }
 
+// Ended reports whether the incarnation has ended, by its own word or as its address was reused.
+func (b *Backend) Ended() bool { return b.Gone || b.superseded }
+
 // flow is the state of a flow that this instance has received packets of.
 type flow struct {
 	backend *Backend
@@ -242,6 +249,8 @@
 	rng      *rand.Rand
 	document *catkinrail.Document
 	routes   map[netip.AddrPort]*catkinrail.Route
+	// named holds the services that the document names.
+	named    map[string]bool
 	backends map[string]*Backend
 	tokens   map[catkinrail.Token]*Backend
 	services map[string][]*Backend
@@ -317,7 +326,7 @@
 	if b == nil {
 		return Verdict{Action: Drop, Reason: ReasonUnknownToken}
 	}
-	if b.Gone && now-b.endedAt > int64(endGracePeriod) {
+	if b.Ended() && now-b.endedAt > int64(endGracePeriod) {
 		if p.Reset {
 			return Verdict{Action: Drop, Reason: ReasonGone}
 		}
@@ -329,7 +338,7 @@
 // open decides what to do with an opening packet.
 func (e *Engine) open(p *catkinrail.TokenPacket, now int64) Verdict {
 	e.expireHandshakes(now)
-	if f := e.flows[p.Flow]; f != nil && f.seq == p.Seq && !f.backend.Gone {
+	if f := e.flows[p.Flow]; f != nil && f.seq == p.Seq && !f.backend.Ended() {
 		return e.openCopy(p, f, now)
 	}
 	if e.overloaded {
--- a/coordination/token/engine_test.go
+++ b/coordination/token/engine_test.go
@@ -169,6 +169,57 @@
 	require.Equal(t, token.Drop, e.Decide(abort, 4000*ms).Action, "an abort is not answered")
 }
 
+// TestSupersededBackendReturns guards against flows that are refused for good once control has taken
+// another incarnation for the holder of the backend server's address, for a while.
+func TestSupersededBackendReturns(t *testing.T) {
+	a := backend("a", 1)
+	e := newEngine(a)
+	update := func(superseded bool, sequence uint64, now int64) {
+		a.Superseded, a.Sequence = superseded, sequence
+		require.Len(t, e.Update([]token.FollowedBackend{a}, now), 1)
+		e.RecordContact(now)
+	}
+	update(true, 1, 1000*ms)
+	require.Equal(t, token.Forward, e.Decide(data(9, 1, 1, 1, 10), 2900*ms).Action)
+	require.Equal(t, token.ReasonNoBackend, e.Decide(opening(1, 0), 1500*ms).Reason)
+	require.Equal(t, token.Refuse, e.Decide(data(9, 1, 1, 1, 10), 3100*ms).Action)
+	update(false, 2, 3200*ms)
+	require.Equal(t, token.Forward, e.Decide(data(9, 1, 1, 1, 10), 9000*ms).Action)
+	require.Equal(t, token.Forward, e.Decide(opening(2, 0), 3300*ms).Action)
+	update(true, 2, 9000*ms)
+	require.Equal(t, token.Forward, e.Decide(data(9, 1, 1, 1, 10), 10_900*ms).Action, "the grace period begins again")
+
+	// The end by the backend server's own word is final.
+	left := a
+	left.Gone, left.Left = true, true
+	e.Update([]token.FollowedBackend{left}, 11_000*ms)
+	a.Superseded, a.Sequence = false, 99
+	require.Empty(t, e.Update([]token.FollowedBackend{a}, 12_000*ms))
+}
+
+// TestOtherWriterTakesNoToken guards against a report of another writer that gives the same number
+// as a backend server's identifier: the backend server's flows would go to another address.
+func TestOtherWriterTakesNoToken(t *testing.T) {
+	tests := []struct {
+		name  string
+		other func(*token.FollowedBackend)
+	}{
+		{"a service that isn't configured", func(b *token.FollowedBackend) { b.Service, b.StartedAt = "odd", 1 }},
+		{"no time of start", func(b *token.FollowedBackend) { b.StartedAt = 0 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			other := backend("other", 1)
+			tt.other(&other)
+			e := newEngine(other, backend("a", 1))
+			require.Equal(t, "a", e.Decide(data(9, 1, 1, 1, 10), 0).Backend.Name)
+			for port := range uint16(20) {
+				require.Equal(t, "a", e.Decide(opening(port, 0), 0).Backend.Name)
+			}
+		})
+	}
+}
+
 func TestOneTokenNamesOneBackend(t *testing.T) {
 	// Identities of more than 32 bits that fold to the same token.
 	older, younger := backend("a", 0x1_0000_0003), backend("b", 0x2_0000_0000)
--- a/coordination/token/update.go
+++ b/coordination/token/update.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -14,6 +15,8 @@
 type FollowedBackend struct {
 	catkinrail.Incarnation
 	Silent bool
+	// Superseded is set while another incarnation holds its address.
+	Superseded bool
 }
 
 // SetDocument puts a document in force if it is newer than the current one, and
@@ -29,11 +32,24 @@
 	}
 	e.loads.shared = d.SharesLoads()
 	e.forgetSizes()
-	e.indexPlacement()
+	if named := serviceNames(d); maps.Equal(named, e.named) {
+		e.indexPlacement()
+	} else {
+		e.named = named
+		e.rebuildIndex()
+	}
 	e.setWarmupLimits()
 	return true
 }
 
+func serviceNames(d *catkinrail.Document) map[string]bool {
+	named := make(map[string]bool, len(d.Services))
+	for _, name := range d.Services {
+		named[name] = true
+	}
+	return named
+}
+
 // SetEvacuations puts the evacuations in force if they are newer than the current ones,
 // and reports whether they are.
 func (e *Engine) SetEvacuations(ev *catkinrail.Evacuations) bool {
@@ -91,7 +107,7 @@
 
 // Update applies the states of backend servers that control has sent, and returns
 // the backend servers that changed. States of ended incarnations are ignored; of an
-// outdated report, only Silent counts.
+// outdated report, only what the sender observed itself counts.
 func (e *Engine) Update(list []FollowedBackend, now int64) []*Backend {
 	var changed []*Backend
 	for i := range list {
@@ -127,12 +143,12 @@
 	if in.StartedAt != known.StartedAt {
 		return in.StartedAt < known.StartedAt
 	}
-	return known.Gone && !in.Gone
+	return known.Gone && !in.Gone && !in.Newer(known)
 }
 
 // apply applies a state sent by control. If its report isn't newer than the known
-// one, only Silent, which the sender observed itself, is updated. It reports whether
-// the backend server changed.
+// one, only what the sender observed itself is updated. It reports whether the backend
+// server changed.
 func (b *Backend) apply(in *FollowedBackend, now int64) bool {
 	before := *b
 	if in.Newer(&b.Incarnation) {
@@ -141,14 +157,14 @@
 		b.loadKey = message.NewServerKey(b.token, b.StartedAt)
 		b.warmUntil = now + int64(in.Warmup)
 	}
-	b.silent = in.Silent
-	if b.Gone && !before.Gone {
+	b.silent, b.superseded = in.Silent, in.Superseded
+	if b.Ended() && !before.Ended() {
 		b.endedAt = now
 	}
 	if b.silent && !before.silent {
 		b.silentSince = now
 	}
-	return before.Name == "" || before.Draining != b.Draining || before.Gone != b.Gone || before.silent != b.silent
+	return before.Name == "" || before.Draining != b.Draining || before.Ended() != b.Ended() || before.silent != b.silent
 }
 
 // expireBackends removes the incarnations that ended or fell silent more than
@@ -157,10 +173,10 @@
 	n := len(e.backends)
 	for name, b := range e.backends {
 		since := b.silentSince
-		if b.Gone {
+		if b.Ended() {
 			since = b.endedAt
 		}
-		if (b.Gone || b.silent) && now-since > int64(catkinrail.EndedRetention) {
+		if (b.Ended() || b.silent) && now-since > int64(catkinrail.EndedRetention) {
 			delete(e.backends, name)
 		}
 	}
@@ -171,20 +187,20 @@
 
 // rebuildIndex assigns each token to the incarnation that started first among those
 // that have not ended, so that a token never changes its meaning for an open flow.
-// An incarnation whose token is taken gets no flows.
+// An incarnation whose token is taken gets no flows. Reports of services that the document
+// doesn't name, or without a time of start, may come from another writer and take no token
+// from others.
 func (e *Engine) rebuildIndex() {
 	list := make([]*Backend, 0, len(e.backends))
 	for _, b := range e.backends {
+		b.named = e.named[b.Service]
 		list = append(list, b)
 	}
 	slices.SortFunc(list, func(a, b *Backend) int {
-		if a.Gone != b.Gone {
-			if a.Gone {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(a.StartedAt, b.StartedAt), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(
+			compareBools(a.Ended(), b.Ended()), compareBools(b.named, a.named), compareBools(a.StartedAt == 0, b.StartedAt == 0),
+			cmp.Compare(a.StartedAt, b.StartedAt), cmp.Compare(a.Name, b.Name),
+		)
 	})
 	clear(e.tokens)
 	clear(e.services)
@@ -194,7 +210,7 @@
 			continue
 		}
 		e.tokens[b.token] = b
-		if !b.Gone {
+		if !b.Ended() {
 			e.services[b.Service] = append(e.services[b.Service], b)
 			receiving = append(receiving, b)
 		}
@@ -203,6 +219,17 @@
 	e.indexPlacement()
 }
 
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // NumBackends returns the number of known incarnations.
 func (e *Engine) NumBackends() int {
 	return len(e.backends)
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -121,7 +121,7 @@
 	}
 	list := make([]token.FollowedBackend, len(u.Backends))
 	for i := range u.Backends {
-		list[i] = token.FollowedBackend{Incarnation: u.Backends[i].Incarnation, Silent: u.Backends[i].Silent}
+		list[i] = token.FollowedBackend{Incarnation: u.Backends[i].Incarnation, Silent: u.Backends[i].Silent, Superseded: u.Backends[i].Superseded}
 	}
 	var changed []*token.Backend
 	var version uint64
@@ -162,11 +162,11 @@
 func (s *session) logChanged(changed []*token.Backend) {
 	c := s.client
 	for _, b := range changed {
-		if !c.Ready() && !b.Draining && !b.Gone && !b.Silent() {
+		if !c.Ready() && !b.Draining && !b.Ended() && !b.Silent() {
 			continue
 		}
 		c.log.Info().Str("backend", b.Name).Str("service", b.Service).Stringer("address", b.Addr).Int64("born", b.StartedAt).
-			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Gone).Bool("silent", b.Silent()).
+			Uint64("sequence", b.Sequence).Bool("draining", b.Draining).Bool("gone", b.Ended()).Bool("silent", b.Silent()).
 			Str("control", s.addr).Msg("backend server changed")
 	}
 }
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,6 +9,7 @@
 go test -run xxx -fuzz FuzzBatch -fuzztime "$time" ./entry/fabric
 go test -run xxx -fuzz FuzzOpen -fuzztime "$time" ./state/journal
 go test -run xxx -fuzz FuzzDecode -fuzztime "$time" ./state/cluster
+go test -run xxx -fuzz FuzzDirectory -fuzztime "$time" ./control/gossip
 for target in FuzzPacket FuzzReport FuzzDocument FuzzDocumentRules FuzzNode; do
 	go test -run xxx -fuzz "^$target\$" -fuzztime "$time" ./platform
 done
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -4,7 +4,6 @@
 package directory
 
 import (
-	"cmp"
 	"encoding/binary"
 	"net/netip"
 	"slices"
@@ -21,6 +20,11 @@
 	inc catkinrail.Incarnation
 	// lastReport is the time of the newest report, in nanoseconds of the clock.
 	lastReport int64
+	// heardAt is the time of the newest report that was just sent, zero if there was none: what
+	// is read from disk or from another instance's directory may be old.
+	heardAt int64
+	// superseded is set while another incarnation holds the address.
+	superseded bool
 	// warmUntil is the time at which its warm-up ends.
 	warmUntil int64
 	silent    bool
@@ -47,8 +51,10 @@
 // isn't safe for concurrent use.
 type Directory struct {
 	silentAfter int64
+	reuseAfter  int64
+	known       func(service string) bool
 	entries     map[string]*entry
-	byAddr      map[netip.AddrPort]string
+	claims      map[netip.AddrPort]*claim
 	revision    uint64
 	// changes lists the changes that other instances must receive, oldest first. The
 	// latest one of an entry is always among them.
@@ -75,14 +81,43 @@
 	}
 }
 
-// New returns an empty directory. A backend server that has not reported for
-// silentAfter counts as silent.
-func New(silentAfter time.Duration) *Directory {
+// Config holds the limits of a directory.
+type Config struct {
+	// SilentAfter is the time without a report after which a backend server counts as silent.
+	SilentAfter time.Duration
+	// ReuseAfter is the least time between the end of an incarnation and the reuse of its
+	// address.
+	ReuseAfter time.Duration
+	// Known reports whether a service exists. A report for another service supersedes nobody:
+	// it may come from another writer. Nil means that all do.
+	Known func(service string) bool
+}
+
+// New returns an empty directory.
+func New(cfg Config) *Directory {
+	if cfg.Known == nil {
+		cfg.Known = func(string) bool { return true }
+	}
 	return &Directory{
-		silentAfter: int64(silentAfter), entries: map[string]*entry{}, byAddr: map[netip.AddrPort]string{},
+		silentAfter: int64(cfg.SilentAfter), reuseAfter: int64(cfg.ReuseAfter), known: cfg.Known,
+		entries: map[string]*entry{}, claims: map[netip.AddrPort]*claim{},
 	}
 }
 
+// Source says where a report comes from.
+type Source uint8
+
+// Sources of reports.
+const (
+	// FromServer is a report that the backend server sent to this instance.
+	FromServer Source = iota
+	// FromPeer is a report that another instance has just received.
+	FromPeer
+	// FromCopy is a report in a directory that was saved or that another instance sent as a
+	// whole, of any age.
+	FromCopy
+)
+
 // Outcome is the effect of a report.
 type Outcome uint8
 
@@ -102,9 +137,11 @@
 	return [...]string{"ignored", "renewed", "changed"}[o]
 }
 
-// Report applies a report. Local is set if it came from the backend server itself,
-// not from another instance.
-func (d *Directory) Report(inc *catkinrail.Incarnation, now int64, local bool) Outcome {
+// Report applies a report. One without a name is ignored.
+func (d *Directory) Report(inc *catkinrail.Incarnation, now int64, from Source) Outcome {
+	if inc.Name == "" {
+		return Ignored
+	}
 	old := d.entries[inc.Name]
 	if old != nil && !inc.Newer(&old.inc) {
 		return Ignored
@@ -117,61 +154,35 @@
 		old = &entry{}
 		d.entries[inc.Name] = old
 	}
+	if old.inc.Addr != inc.Addr {
+		d.unclaim(inc.Name, old, now)
+	}
 	old.inc = *inc
-	old.lastReport, old.local, old.silent = now, local, false
+	old.lastReport, old.local, old.silent = now, from == FromServer, false
+	if from != FromCopy {
+		old.heardAt = now
+	}
 	old.warmUntil = now + int64(inc.Warmup)
 	if same {
 		d.revision++
 		old.reportRevision = d.revision
-		return Renewed
+	} else {
+		d.recordChange(inc.Name, old)
 	}
-	d.recordChange(inc.Name, old)
-	d.resolveAddr(inc)
-	return Changed
+	if d.claim(inc.Name, old, now) || !same {
+		return Changed
+	}
+	return Renewed
 }
 
 func sameState(a, b *catkinrail.Incarnation) bool {
-	return a.StartedAt == b.StartedAt && a.Gone == b.Gone && a.Draining == b.Draining && a.Addr == b.Addr &&
+	return a.StartedAt == b.StartedAt && a.Gone == b.Gone && a.Left == b.Left && a.Draining == b.Draining && a.Addr == b.Addr &&
 		a.Service == b.Service && a.Slots == b.Slots && a.Zone == b.Zone
 }
 
-// resolveAddr ends the earlier of two incarnations with the same address: an address
-// is only reused after its earlier holder has ended.
-func (d *Directory) resolveAddr(inc *catkinrail.Incarnation) {
-	if inc.Gone {
-		return
-	}
-	other := d.entries[d.byAddr[inc.Addr]]
-	if other == nil || other.inc.Name == inc.Name || other.inc.Addr != inc.Addr {
-		d.byAddr[inc.Addr] = inc.Name
-		return
-	}
-	if d.entries[inc.Name].later(other) {
-		d.byAddr[inc.Addr] = inc.Name
-		d.end(other)
-		return
-	}
-	d.end(d.entries[inc.Name])
-}
-
-// later reports whether e is the later one of two incarnations with the same address.
-func (e *entry) later(other *entry) bool {
-	if c := cmp.Compare(e.inc.StartedAt, other.inc.StartedAt); c != 0 {
-		return c > 0
-	}
-	return e.inc.Name > other.inc.Name
-}
-
-func (d *Directory) end(e *entry) {
-	if e.inc.Gone {
-		return
-	}
-	e.inc.Gone = true
-	d.recordChange(e.inc.Name, e)
-}
-
 // Leave ends the incarnation of the name that started at startedAt, or the known one if
-// startedAt is zero.
+// startedAt is zero. The latter says too little to be final: a report that follows it shows
+// that the incarnation goes on.
 func (d *Directory) Leave(name string, startedAt, now int64) Outcome {
 	e := d.entries[name]
 	if e == nil || e.inc.Gone || (startedAt != 0 && startedAt < e.inc.StartedAt) {
@@ -179,7 +190,9 @@
 	}
 	e.inc.StartedAt = max(e.inc.StartedAt, startedAt)
 	e.lastReport, e.local = now, true
-	d.end(e)
+	e.inc.Gone, e.inc.Left = true, startedAt != 0
+	d.recordChange(name, e)
+	d.claim(name, e, now)
 	return Changed
 }
 
@@ -190,22 +203,24 @@
 	if e == nil || e.inc.StartedAt < startedAt {
 		return false
 	}
-	if e.inc.StartedAt != startedAt || e.inc.Gone || e.inc.Sequence >= sequence {
+	if e.inc.StartedAt != startedAt || e.inc.Left || e.inc.Sequence >= sequence {
 		return true
 	}
-	if e.inc.Draining != draining {
+	if e.inc.Draining != draining || e.inc.Gone {
 		return false
 	}
 	e.inc.Sequence = sequence
-	e.lastReport = now
+	e.lastReport, e.heardAt = now, now
 	if e.silent {
 		e.silent = false
 		d.recordChange(name, e)
 	}
+	d.claim(name, e, now)
 	return true
 }
 
-// Tick marks backend servers that have fallen silent. It expires ended and silent ones
+// Tick marks backend servers that have fallen silent, and passes contested addresses on whose
+// holders no longer report. It expires ended and silent ones
 // whose last report or leave is older than catkinrail.EndedRetention. It returns the
 // names of the newly silent ones.
 func (d *Directory) Tick(now int64) []string {
@@ -214,9 +229,7 @@
 		age := now - e.lastReport
 		if (e.inc.Gone || e.silent) && age > int64(catkinrail.EndedRetention) {
 			delete(d.entries, name)
-			if d.byAddr[e.inc.Addr] == name {
-				delete(d.byAddr, e.inc.Addr)
-			}
+			d.unclaim(name, e, now)
 			continue
 		}
 		if !e.silent && !e.inc.Gone && age > d.silentAfter {
@@ -225,6 +238,11 @@
 			silent = append(silent, name)
 		}
 	}
+	for addr, c := range d.claims {
+		if len(c.names) > 1 {
+			d.settle(addr, c, now)
+		}
+	}
 	slices.Sort(silent)
 	return silent
 }
@@ -234,6 +252,9 @@
 func (d *Directory) CompensateStall(span int64) {
 	for _, e := range d.entries {
 		e.lastReport += span
+		if e.heardAt != 0 {
+			e.heardAt += span
+		}
 	}
 }
 
@@ -255,12 +276,20 @@
 type View struct {
 	catkinrail.Incarnation
 	Silent bool
+	// Superseded is set while another incarnation holds the address: it was reused, or this one
+	// was reported by another writer.
+	Superseded bool
 	// LastReport is the time of its last report, in nanoseconds of the clock.
 	LastReport int64
 }
 
+// Ended reports whether the incarnation has ended, by its own word or as its address was reused.
+func (v *View) Ended() bool {
+	return v.Gone || v.Superseded
+}
+
 func (e *entry) view(now int64) View {
-	v := View{Incarnation: e.inc, Silent: e.silent, LastReport: e.lastReport}
+	v := View{Incarnation: e.inc, Silent: e.silent, Superseded: e.superseded, LastReport: e.lastReport}
 	v.Warmup = time.Duration(max(0, e.warmUntil-now))
 	return v
 }
--- a/token.go
+++ b/token.go
@@ -62,11 +62,15 @@
 	// Slots is the number of requests that it processes concurrently.
 	Slots    int  `cbor:"8,keyasint,omitempty"`
 	Draining bool `cbor:"9,keyasint,omitempty"`
-	// Gone is set once the incarnation has ended, and is never unset.
+	// Gone is set once the incarnation has ended. Unless Left is set, a newer report of the
+	// incarnation unsets it.
 	Gone bool `cbor:"10,keyasint,omitempty"`
 	// Warmup is the time for which the incarnation is still warming up, counted from
 	// when this value was sent.
 	Warmup time.Duration `cbor:"11,keyasint,omitempty"`
+	// Left is set, together with Gone, once the incarnation itself has said that it ends. It is
+	// never unset: what comes from the incarnation later was sent before.
+	Left bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Token returns the routing token of the incarnation. An identity of up to 32 bits
@@ -84,12 +88,15 @@
 	if i.StartedAt != o.StartedAt {
 		return i.StartedAt > o.StartedAt
 	}
-	if i.Gone != o.Gone {
-		return i.Gone
+	if i.Left != o.Left {
+		return i.Left
 	}
 	if i.Sequence != o.Sequence {
 		return i.Sequence > o.Sequence
 	}
+	if i.Gone != o.Gone {
+		return i.Gone
+	}
 	return i.Draining && !o.Draining
 }
 
