follow: send large updates in parts

Cause: a stream was closed when no whole update had arrived for 1 s, and the document is one update; each new stream began with its first byte.

Change: updates beyond 8 KiB are sent in parts, each with the time limit of an update, with changes of the directory between those of a document.

TestLargeDocumentInParts and TestLargeUpdatesOverSlowLink fail without parts.

--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -31,6 +31,11 @@
 	keepAliveInterval = 400 * time.Millisecond
 )
 
+// maxPart is the size in bytes from which an update is sent in parts. Each arrives well within
+// the time without an update after which an entry instance gives up a stream, also over a link
+// of 1 Mbit/s that carries other traffic.
+const maxPart = 8 << 10
+
 // Server sends updates to the entry instances that follow this control instance.
 type Server struct {
 	core  *core.Core
@@ -56,6 +61,12 @@
 	*Server
 	Follower
 	send func(body []byte) error
+	// parts is set if the entry instance takes large updates in parts.
+	parts bool
+	// unsent is what is left of the document of version unsentVersion that is being sent; empty
+	// if there is none.
+	unsent        []byte
+	unsentVersion uint64
 	// revision is that of the directory.
 	revision uint64
 	members  *quorum.Members
@@ -67,7 +78,7 @@
 // returns that error.
 func (s *Server) Serve(ctx context.Context, req *message.FollowRequest, send func(body []byte) error) error {
 	st := &stream{
-		Server: s, send: send, revision: s.resumeRevision(req.Resume),
+		Server: s, send: send, parts: req.Parts, revision: s.resumeRevision(req.Resume),
 		Follower: Follower{Name: req.Name, Zone: req.Zone, Document: req.Document, StartedAt: s.clock.Now()},
 	}
 	s.log.Info().Str("entry", req.Name).Str("zone", string(req.Zone)).Uint64("document", req.Document).
@@ -115,6 +126,14 @@
 // wait waits until there may be something to send, and reports whether a keep-alive
 // is due. It ignores published states with neither a newer document nor new members.
 func (st *stream) wait(ctx context.Context, advanced, changed <-chan struct{}, keepAlive <-chan time.Time) (keepAliveDue bool, err error) {
+	if len(st.unsent) > 0 {
+		select {
+		case <-keepAlive:
+			return true, ctx.Err()
+		default:
+			return false, ctx.Err()
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -174,18 +193,12 @@
 	now := st.clock.Now().UnixNano()
 	current := st.InContact()
 	published := st.core.Published()
-	complete := st.dir.Complete()
-	if v := documentVersion(published); v > st.Document && current {
-		body, err := st.feed.encodeDocument(published.Document)
-		if err != nil {
-			return nil, err
-		}
-		if err := st.send(body); err != nil {
-			return nil, err
-		}
-		st.Document = v
-		st.record()
+	if err := st.sendDocument(published, current); err != nil {
+		return nil, err
 	}
+	// While a newer document is under way, an endpoint that the entry instance doesn't know may
+	// be in it.
+	complete := st.dir.Complete() && len(st.unsent) == 0
 	if r := evacuationsRevision(published); r > st.Evacuations && current {
 		body, err := cluster.EncodeCompressed(&message.FollowUpdate{Evacuations: published.Evacuations})
 		if err != nil {
@@ -208,6 +221,66 @@
 	return changed, st.sendState(published)
 }
 
+// sendDocument sends a newer document. One that is large is sent a part at each call, so that
+// changes of the directory don't wait for all of it. Once begun it is sent whole, so that frequent
+// changes don't keep all of them from arriving.
+func (st *stream) sendDocument(published *core.PublishedState, current bool) error {
+	if v := documentVersion(published); len(st.unsent) == 0 && v > st.Document && current {
+		body, err := st.feed.encodeDocument(published.Document)
+		if err != nil {
+			return err
+		}
+		if !st.inParts(body) {
+			if err := st.send(body); err != nil {
+				return err
+			}
+			st.recordDocument(v)
+			return nil
+		}
+		st.unsent, st.unsentVersion = body, v
+	}
+	if len(st.unsent) == 0 {
+		return nil
+	}
+	var err error
+	if st.unsent, err = st.sendPart(st.unsent, message.DocumentPart); err == nil && len(st.unsent) == 0 {
+		st.recordDocument(st.unsentVersion)
+	}
+	return err
+}
+
+// recordDocument records that the document of a version was sent.
+func (st *stream) recordDocument(version uint64) {
+	st.Document = version
+	st.record()
+}
+
+// inParts reports whether an encoded update is sent in parts.
+func (st *stream) inParts(body []byte) bool {
+	return st.parts && len(body) > maxPart
+}
+
+// sendPart sends the next part of an encoded update and returns the rest.
+func (st *stream) sendPart(body []byte, of message.PartOf) (rest []byte, err error) {
+	n := min(len(body), maxPart)
+	part, err := cluster.Encode(&message.FollowUpdate{Part: body[:n], PartOf: of, Last: n == len(body)})
+	if err != nil {
+		return nil, err
+	}
+	return body[n:], st.send(part)
+}
+
+// sendDirectory sends an encoded update with the directory or its changes.
+func (st *stream) sendDirectory(body []byte) (err error) {
+	if !st.inParts(body) {
+		return st.send(body)
+	}
+	for len(body) > 0 && err == nil {
+		body, err = st.sendPart(body, message.DirectoryPart)
+	}
+	return err
+}
+
 // sendBackends sends all pending changes of the directory. It returns a channel that
 // is closed at the next one.
 func (st *stream) sendBackends(now int64) (<-chan struct{}, error) {
@@ -216,7 +289,7 @@
 		if err != nil || fr == nil {
 			return changed, err
 		}
-		if err := st.send(fr.body); err != nil {
+		if err := st.sendDirectory(fr.body); err != nil {
 			return nil, err
 		}
 		st.revision = fr.to
--- a/control/follow/server_test.go
+++ b/control/follow/server_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/zeebo/xxh3"
 	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail"
@@ -95,6 +97,67 @@
 	}
 }
 
+// TestLargeDocumentInParts guards against documents that don't arrive on slow links: no message may
+// take long, changes of the directory come between the parts, and nothing says that the entry
+// instance has everything before it has the document. Entry instances of older builds get it whole.
+func TestLargeDocumentInParts(t *testing.T) {
+	c := startCore(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	d := &catkinrail.Document{Version: 7}
+	for i := range 6000 {
+		d.Routes = append(d.Routes, catkinrail.Route{Name: fmt.Sprintf("r-%x", xxh3.HashString(fmt.Sprint(i)))})
+	}
+	for c.PutDocument(ctx, d) != nil {
+		require.NoError(t, ctx.Err())
+	}
+	tests := []struct {
+		name  string
+		parts bool
+	}{{"parts", true}, {"an older entry instance", false}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(c, newDirectory(), clock.New(), logs.Discard())
+			ctx, stop := context.WithCancel(ctx)
+			defer stop()
+			var body []byte
+			var got *catkinrail.Document
+			messages, between := 0, 0
+			err := s.Serve(ctx, &message.FollowRequest{Name: "entry-1", Zone: "a", Parts: tt.parts}, func(b []byte) error {
+				if tt.parts {
+					require.Less(t, len(b), maxPart+100)
+				}
+				messages++
+				u := decode(t, b)
+				if len(u.Part) > 0 {
+					require.Equal(t, message.DocumentPart, u.PartOf)
+					if body = append(body, u.Part...); u.Last {
+						u = decode(t, body)
+					} else {
+						s.dir.Report(incarnation(1, uint64(messages), messages%2 == 0))
+					}
+				}
+				switch {
+				case u.Document != nil:
+					got = u.Document
+				case len(u.Backends) > 0 && got == nil:
+					between++
+				case u.State && got == nil:
+					require.False(t, u.Complete)
+				case u.State:
+					stop()
+				}
+				return nil
+			})
+			require.NoError(t, err)
+			require.Equal(t, d.Routes, got.Routes)
+			if tt.parts {
+				require.Greater(t, between, 2)
+			}
+		})
+	}
+}
+
 // dirRevision returns the revision of the directory.
 func (s *Server) dirRevision() uint64 {
 	_, at, _ := s.dir.Since(0)
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -142,6 +142,8 @@
 	// Resume is the point that the last stream had reached, if it came from the same
 	// address.
 	Resume ResumePoint `cbor:"4,keyasint,omitempty"`
+	// Parts is set if the entry instance takes large updates in parts.
+	Parts bool `cbor:"5,keyasint,omitempty"`
 }
 
 // ResumePoint is a point in a control instance's updates from which another stream
@@ -182,8 +184,22 @@
 	Resume ResumePoint `cbor:"7,keyasint,omitempty"`
 	// Evacuations is set if they are newer than those that were sent before.
 	Evacuations *catkinrail.Evacuations `cbor:"8,keyasint,omitempty"`
+	// Part is the next part of an encoded update with PartOf, and Last is set on its last part.
+	// Other updates may come between the parts of a document.
+	Part   []byte `cbor:"9,keyasint,omitempty"`
+	PartOf PartOf `cbor:"10,keyasint,omitempty"`
+	Last   bool   `cbor:"11,keyasint,omitempty"`
 }
 
+// PartOf is what an update that is sent in parts holds.
+type PartOf uint8
+
+// Updates that are sent in parts.
+const (
+	DocumentPart PartOf = iota
+	DirectoryPart
+)
+
 // LoadReport is what an entry instance observes of the backend servers, sent to the control
 // instance that it follows.
 type LoadReport struct {
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -231,6 +231,8 @@
 type fakeControl struct {
 	control.DRPCControlUnimplementedServer
 	updates []*message.FollowUpdate
+	// pause is the time before each update.
+	pause time.Duration
 
 	mu    sync.Mutex
 	calls int
@@ -242,6 +244,7 @@
 	s.calls++
 	s.mu.Unlock()
 	for _, u := range s.updates {
+		time.Sleep(s.pause)
 		body, err := cluster.EncodeCompressed(u)
 		if err != nil {
 			return err
@@ -308,6 +311,36 @@
 	require.Equal(t, uint64(5), documentVersion(r))
 }
 
+// TestLargeUpdatesOverSlowLink guards against streams that are given up again and again because a
+// document takes longer than the time without an update after which a stream is closed. Parts of
+// the directory come between those of the document.
+func TestLargeUpdatesOverSlowLink(t *testing.T) {
+	split := func(of message.PartOf, u *message.FollowUpdate) (list []*message.FollowUpdate) {
+		body, err := cluster.EncodeCompressed(u)
+		require.NoError(t, err)
+		const parts = 4
+		for i := range parts {
+			list = append(list, &message.FollowUpdate{Part: body[i*len(body)/parts : (i+1)*len(body)/parts], PartOf: of, Last: i == parts-1})
+		}
+		return list
+	}
+	document := split(message.DocumentPart, &message.FollowUpdate{Document: newDocument(5)})
+	directory := split(message.DirectoryPart, &message.FollowUpdate{Backends: []message.FollowedBackend{{Incarnation: catkinrail.Incarnation{
+		Name: "b", Identity: 1, StartedAt: 100, Sequence: 1, Service: "logbook", Zone: "a",
+	}}}})
+	s := &fakeControl{pause: 200 * time.Millisecond}
+	for i := range document {
+		s.updates = append(s.updates, document[i], directory[i])
+	}
+	s.updates = append(s.updates, &message.FollowUpdate{State: true, Current: true, Complete: true})
+	require.Greater(t, time.Duration(len(s.updates))*s.pause, updateTimeout)
+	c, r := newClient("a", serveControl(t, s))
+	runUntil(t, c, c.Ready)
+	require.Equal(t, 1, s.callCount())
+	require.Equal(t, uint64(5), documentVersion(r))
+	r.Do(func(e *token.Engine, _ int64) { require.Equal(t, 1, e.NumBackends()) })
+}
+
 // TestNotReadyWithIncompleteDirectory follows a control instance that has lost its
 // disk: it has the document before it has the backend servers. An entry instance
 // that treated its directory as complete would refuse flows.
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -29,6 +29,8 @@
 	lastContact time.Time
 	// hadContact is set after the first such update.
 	hadContact bool
+	// parts holds what has been received of updates that are sent in parts.
+	parts map[message.PartOf][]byte
 	// switched is set if the stream was closed to follow another control instance.
 	switched bool
 }
@@ -48,7 +50,7 @@
 	return cl.Call(ctx, "follow", streamTimeout, func(ctx context.Context, conn drpc.Conn) error {
 		var version uint64
 		s.client.router.Do(func(e *token.Engine, _ int64) { version = e.Version() })
-		body, err := cluster.Encode(&message.FollowRequest{Name: s.client.name, Zone: s.client.zone, Document: version, Resume: s.client.resumePoint(s.addr)})
+		body, err := cluster.Encode(&message.FollowRequest{Name: s.client.name, Zone: s.client.zone, Document: version, Resume: s.client.resumePoint(s.addr), Parts: true})
 		if err != nil {
 			return err
 		}
@@ -61,11 +63,11 @@
 			if err != nil {
 				return err
 			}
-			var u message.FollowUpdate
-			if err := cluster.DecodeCompressed(f.GetBody(), &u); err != nil {
+			u, err := s.decode(f.GetBody())
+			if err != nil {
 				return err
 			}
-			s.apply(&u)
+			s.apply(u)
 			timer.Reset(s.nextUpdateTimeout())
 			if u.State && s.shouldSwitch() {
 				cancel()
@@ -75,6 +77,26 @@
 	})
 }
 
+// decode returns the update in a message: an empty one if the message is part of an update
+// of which more parts follow.
+func (s *session) decode(body []byte) (*message.FollowUpdate, error) {
+	u := &message.FollowUpdate{}
+	if err := cluster.DecodeCompressed(body, u); err != nil || len(u.Part) == 0 {
+		return u, err
+	}
+	if s.parts == nil {
+		s.parts = map[message.PartOf][]byte{}
+	}
+	whole := append(s.parts[u.PartOf], u.Part...)
+	s.parts[u.PartOf] = whole
+	if !u.Last {
+		return &message.FollowUpdate{}, nil
+	}
+	delete(s.parts, u.PartOf)
+	u = &message.FollowUpdate{}
+	return u, cluster.DecodeCompressed(whole, u)
+}
+
 // nextUpdateTimeout returns the limit on the wait for the next update.
 func (s *session) nextUpdateTimeout() time.Duration {
 	switch {
