control: wait for a full disk at the start, and close what could not be opened

Reported by other operators: disks of control machines were full for some seconds each, one after another; long after the last had room again, changes were refused or stayed unanswered.

Found on the way: a process that started while its disk was full ended, to be started again and again; it now tries to open its data folder every 250 ms.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -52,6 +52,8 @@
 	// has not recorded them.
 	announceInterval = 10 * time.Second
 	startTimeout     = 5 * time.Second
+	// openInterval is the time between two attempts to open the data folder.
+	openInterval = 250 * time.Millisecond
 	// leaveTimeout is the longest time for which a stop waits until the instance has given up
 	// its vote.
 	leaveTimeout = time.Second
@@ -96,8 +98,7 @@
 	d.seedAddrs.Store(&list)
 }
 
-// run opens the instance's data folder and starts its parts in the group. An initial
-// member with an empty log starts from a snapshot that holds the initial members.
+// run opens the instance's data folder and starts its parts in the group.
 func (d *daemon) run(ctx context.Context, g *errgroup.Group) error {
 	d.clock = clock.New()
 	d.setSeeds(d.cfg)
@@ -108,23 +109,61 @@
 	if d.creds == nil {
 		d.log.Info().Msg("TLS is off; only loopback addresses are accepted")
 	}
-	if d.dir, err = disk.Open(d.cfg.Data); err != nil {
+	j, stored, err := d.awaitStore(ctx)
+	if err != nil {
 		return err
 	}
+	return d.serve(ctx, g, j, stored)
+}
+
+// awaitStore opens the data folder. It tries again while the disk is full or doesn't work, until
+// the instance is asked to stop: a process that ended instead would be started again and again.
+func (d *daemon) awaitStore(ctx context.Context) (*journal.Journal, quorum.Stored, error) {
+	ticker := time.NewTicker(openInterval)
+	defer ticker.Stop()
+	for attempt := 1; ; attempt++ {
+		j, stored, err := d.openStore()
+		if err == nil || !disk.Transient(err) {
+			return j, stored, err
+		}
+		if attempt == 1 {
+			d.log.Error(err).Msg("data folder could not be opened; trying again")
+		}
+		select {
+		case <-ctx.Done():
+			return nil, stored, ctx.Err()
+		case <-d.stopping.Done():
+			d.stop()
+			return nil, stored, context.Canceled
+		case <-ticker.C:
+		}
+	}
+}
+
+// openStore opens the data folder and reads the identity and the journal. An initial member with an
+// empty log starts from a snapshot that holds the initial members.
+func (d *daemon) openStore() (*journal.Journal, quorum.Stored, error) {
+	var stored quorum.Stored
+	var err error
+	if d.dir == nil {
+		if d.dir, err = disk.Open(d.cfg.Data); err != nil {
+			return nil, stored, err
+		}
+	}
 	if err := d.loadIdentity(); err != nil {
-		return err
+		return nil, stored, err
 	}
 	j, stored, err := journal.Open(d.dir)
 	if err != nil {
-		return catkinrail.At(err, "open journal", d.cfg.Data)
+		return nil, stored, catkinrail.At(err, "open journal", d.cfg.Data)
 	}
 	if d.isInitialMember() && len(stored.Snapshot.Members.Nodes) == 0 && len(stored.Entries) == 0 {
 		stored.Snapshot.Members = *d.initialMembers()
 		if err := j.SaveSnapshot(&stored.Snapshot, nil); err != nil {
-			return catkinrail.At(err, "bootstrap", d.cfg.Data)
+			return nil, stored, errors.Join(catkinrail.At(err, "bootstrap", d.cfg.Data), j.Close())
 		}
 	}
-	return d.serve(ctx, g, j, stored)
+	return j, stored, nil
 }
 
 // loadIdentity reads the identity in the data folder, or saves a new one there if the
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -409,12 +409,17 @@
 	if applied == c.snapshotIndex() {
 		return nil
 	}
+	return c.writeSnapshot()
+}
+
+// writeSnapshot replaces the applied part of the log by a snapshot.
+func (c *Core) writeSnapshot() error {
 	data, err := cluster.Encode(c.state)
 	if err != nil {
 		return err
 	}
 	s := c.node.Snapshot(data)
-	if err := c.cfg.Journal.SaveSnapshot(s, c.node.EntriesAfter(applied)); err != nil {
+	if err := c.cfg.Journal.SaveSnapshot(s, c.node.EntriesAfter(s.Index)); err != nil {
 		return err
 	}
 	c.node.Compact(s)
--- a/state/journal/journal.go
+++ b/state/journal/journal.go
@@ -74,7 +74,13 @@
 		return nil, stored, err
 	}
 	j.hard = stored.HardState
-	return j, stored, j.startSegment(segments)
+	if err := j.startSegment(segments); err != nil {
+		if j.file != nil {
+			err = errors.Join(err, j.file.Close())
+		}
+		return nil, stored, err
+	}
+	return j, stored, nil
 }
 
 // withPrefix returns, sorted, the names that have the prefix and aren't those of
--- a/transport/disk/disk.go
+++ b/transport/disk/disk.go
@@ -2,9 +2,11 @@
 package disk
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"catkinrail.example/catkinrail"
 )
@@ -15,6 +17,12 @@
 	fileMode = 0o640
 )
 
+// Transient reports whether an error of a disk goes away by itself: the disk is full, or
+// doesn't work for a while.
+func Transient(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EIO)
+}
+
 // Dir is a locked folder of the file system.
 type Dir struct {
 	path string
