core: answer proposals once the state with them is published

A stream that began right after the acknowledgement of an evacuation said that it had everything without it.

Change: applied proposals are answered right after the state is published.

Result: TestAnswersFollowPublishedState fails without the change.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -108,6 +108,9 @@
 	pending []*proposal
 	// inFlight is the proposal whose entry is in the log but not committed, or nil.
 	inFlight *proposal
+	// applied are the proposals that are applied in the state that is published next. They are
+	// answered once it is: who gets an answer may read the published state.
+	applied []*proposal
 	// stopped is closed when Run returns.
 	stopped chan struct{}
 	reads   []pendingRead
@@ -151,6 +154,11 @@
 	return f
 }
 
+// drop lets go of what the proposal holds, if it has not been evaluated.
+func (p *proposal) drop() {
+	p.take()
+}
+
 // Result is the outcome of a proposal.
 type Result struct {
 	Answer *cluster.Answer
@@ -387,13 +395,21 @@
 	}
 	c.inFlight = nil
 	if e.Index == p.index && e.Term == p.term {
-		p.finish(Result{Answer: p.answer})
+		c.applied = append(c.applied, p)
 		return
 	}
 	// Another entry was committed at its index.
 	p.finish(Result{Err: ErrNotRun})
 }
 
+// answerApplied answers the proposals that are applied in the published state.
+func (c *Core) answerApplied() {
+	for _, p := range c.applied {
+		p.finish(Result{Answer: p.answer})
+	}
+	c.applied = nil
+}
+
 func (p *proposal) finish(r Result) {
 	if p.done != nil {
 		p.done <- r
@@ -518,7 +534,7 @@
 // submit queues a proposal and waits for its result. If ctx ends first, the proposal is dropped
 // unless it has been evaluated.
 func (c *Core) submit(ctx context.Context, p *proposal) (*cluster.Answer, error) {
-	defer p.take()
+	defer p.drop()
 	if err := c.do(ctx, func() { c.pending = append(c.pending, p) }); err != nil {
 		if errors.Is(err, ErrNotLeader) {
 			return nil, err
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -333,3 +333,19 @@
 	require.ErrorIs(t, (<-p.done).Err, ErrUnknown)
 	require.Nil(t, c.Published().Document)
 }
+
+// TestAnswersFollowPublishedState guards against answers before the state that contains the change can
+// be read: a stream that began in between said that it had everything without it.
+func TestAnswersFollowPublishedState(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	c := tc.leader()
+	done := make(chan Result, 1)
+	c.pending = append(c.pending, &proposal{evaluate: putDocument(doc(5, "a")), done: done})
+	c.runLeader()
+	require.NoError(t, c.handleReady())
+	require.Equal(t, uint64(5), c.state.Document.Version)
+	require.Empty(t, done)
+	c.publish()
+	require.NoError(t, (<-done).Err)
+	require.Equal(t, uint64(5), c.Published().Document.Version)
+}
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -28,7 +28,8 @@
 
 // publish makes the current state available to Published and Synced.
 func (c *Core) publish() {
-	// Synced must not run ahead of the published state, so its time is stored last.
+	defer c.answerApplied()
+	// Synced must not run ahead of the published state, so its time is stored after it.
 	defer c.synced.Store(c.node.Synced())
 	old := c.published.Load()
 	if old != nil && old.Applied == c.node.AppliedIndex() && old.Leader == c.node.LeaderID() &&
--- a/control/core/recover.go
+++ b/control/core/recover.go
@@ -60,8 +60,10 @@
 	}
 }
 
-// failRequests fails all pending proposals and reads and the proposal in flight.
+// failRequests fails all pending proposals and reads and the proposal in flight. Those that are
+// applied are committed, so they succeed.
 func (c *Core) failRequests() {
+	c.answerApplied()
 	for _, p := range c.pending {
 		p.finish(Result{Err: c.leaderError()})
 	}
