soak: check from outside which documents are in force

The users saw a change that had been confirmed and was not in force in time, came back older, an invalid one that was taken or an added route that was not served, on processes of their own, and kept no logs. The soak checked only what the operator read.

Change: each document has a route of its own, which is probed through every entry instance all the time: no instance goes back, none refuses a route acknowledged 3 s before, and once all is calm another document is in force everywhere within 3 s. Invalid documents, two operators under one version and acknowledged documents that are sent again are mixed in. The choices come from a random stream of their own, so that faults stay those of the seed.

--- a/emulator/cmd/catkinrail-emulator/platform_run.go
+++ b/emulator/cmd/catkinrail-emulator/platform_run.go
@@ -103,6 +103,10 @@
 	// staleReads counts reads that returned an older document than the last one
 	// acknowledged.
 	staleReads int
+	// check checks the documents in a soak test.
+	check *documentCheck
+	// digests holds what was read under each version.
+	digests map[uint64]uint64
 	// evacuated is the evacuated zone, empty if there is none, and evacuationEnd the time
 	// at which to end that.
 	evacuated     string
@@ -131,13 +135,26 @@
 	op := standin.Operator{Control: p.controlAddrs}
 	readyCtx, stop := context.WithTimeout(ctx, platformReadyTimeout)
 	defer stop()
-	if err := op.Put(readyCtx, 1, routes); err != nil {
+	if err := op.Put(readyCtx, 1, append(routes, markerRoute(1))); err != nil {
 		return err
 	}
+	p.check, p.digests = newDocumentCheck(p.router.Entries, p.subnet), map[uint64]uint64{}
+	p.check.recordSent(1)
+	p.check.recordAcked(1)
 	time.Sleep(time.Second)
+	if p.seed != 0 {
+		if err := p.check.start(ctx, g); err != nil {
+			return err
+		}
+	}
 	if err := p.runCallers(ctx, g, routes, &op); err != nil {
 		return err
 	}
+	if p.seed != 0 {
+		if err := p.checkCalm(ctx, routes, &op); err != nil {
+			return err
+		}
+	}
 	cancel()
 	if err := g.Wait(); err != nil {
 		return err
@@ -208,7 +225,7 @@
 func (p *platformRun) changeOnce(ctx context.Context, routes []standin.Route, op *standin.Operator) error {
 	time.Sleep(p.duration / 3)
 	fmt.Println("change: a route is added")
-	if err := putInTime(ctx, op, 2, append(routes, extraRoute(1))); err != nil {
+	if err := putInTime(ctx, op, 2, append(slices.Clone(routes), extraRoute(1))); err != nil {
 		return err
 	}
 	fmt.Println("change: a backend server drains")
@@ -300,7 +317,7 @@
 // churn changes the document, replaces a backend server or evacuates a zone at random times
 // until callCtx ends.
 func (p *platformRun) churn(callCtx, ctx context.Context, g *errgroup.Group, routes []standin.Route, op *standin.Operator) error {
-	rng, evacuations := rand.New(rand.NewPCG(p.seed, 1)), rand.New(rand.NewPCG(p.seed, 2))
+	rng, evacuations, orders := rand.New(rand.NewPCG(p.seed, 1)), rand.New(rand.NewPCG(p.seed, 2)), rand.New(rand.NewPCG(p.seed, 3))
 	for version := uint64(2); callCtx.Err() == nil; version++ {
 		clock.Sleep(callCtx, time.Duration(rng.Int64N(int64(platformMaxChangeInterval))))
 		if evacuations.IntN(3) == 0 {
@@ -316,7 +333,7 @@
 		for n := range rng.IntN(5) {
 			list = append(list, extraRoute(n))
 		}
-		if err := putInTime(ctx, op, version, list); err != nil {
+		if err := p.putChecked(ctx, op, orders, version, append(list, markerRoute(version))); err != nil {
 			return err
 		}
 		if err := p.checkRead(ctx, op, version); err != nil {
@@ -326,6 +343,50 @@
 	return nil
 }
 
+// putChecked puts a document: by one operator or by two at once, to other control instances, with
+// different routes. At times an invalid document of the same version comes before it, and the
+// acknowledged document is sent again.
+func (p *platformRun) putChecked(ctx context.Context, op *standin.Operator, rng *rand.Rand, version uint64, list []standin.Route) error {
+	p.check.recordSent(version)
+	if rng.IntN(4) == 0 {
+		err := inTime(ctx, func(ctx context.Context) error { return op.PutInvalid(ctx, version, list) })
+		if errors.Is(err, standin.ErrAccepted) {
+			p.check.fail("invalid-accepted", "version %d", version)
+		} else if err != nil {
+			return err
+		}
+	}
+	var g errgroup.Group
+	if rng.IntN(4) == 0 {
+		other := &standin.Operator{Control: append(slices.Clone(op.Control[1:]), op.Control[0])}
+		g.Go(func() error { return putInTime(ctx, other, version, append(slices.Clone(list), extraRoute(9))) })
+	}
+	g.Go(func() error { return putInTime(ctx, op, version, list) })
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	p.check.recordAcked(version)
+	if rng.IntN(4) == 0 {
+		again := &standin.Operator{Control: append(slices.Clone(op.Control[2:]), op.Control[:2]...)}
+		return putInTime(ctx, again, version, list)
+	}
+	return nil
+}
+
+// checkCalm waits until there were no faults for calmTime, and checks that another document is then
+// in force everywhere in time.
+func (p *platformRun) checkCalm(ctx context.Context, routes []standin.Route, op *standin.Operator) error {
+	clock.Sleep(ctx, calmTime)
+	version := p.check.sent + 1
+	p.check.recordSent(version)
+	if err := putInTime(ctx, op, version, append(slices.Clone(routes), markerRoute(version))); err != nil {
+		return err
+	}
+	p.check.recordAcked(version)
+	p.check.checkInForce(ctx, version)
+	return p.checkRead(ctx, op, version)
+}
+
 // replaceBackend starts a backend server, and drains the oldest one of the service
 // that isn't draining.
 func (p *platformRun) replaceBackend(ctx context.Context, g *errgroup.Group, service string) {
@@ -348,9 +409,14 @@
 
 // putInTime puts a document. It fails if that isn't acknowledged within operatorTimeout.
 func putInTime(ctx context.Context, op *standin.Operator, version uint64, list []standin.Route) error {
+	return inTime(ctx, func(ctx context.Context) error { return op.Put(ctx, version, list) })
+}
+
+// inTime makes an operator's call, for operatorTimeout at most.
+func inTime(ctx context.Context, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	return op.Put(ctx, version, list)
+	return call(ctx)
 }
 
 // checkRead reads the document and counts it as stale if it is older than the
@@ -358,11 +424,15 @@
 func (p *platformRun) checkRead(ctx context.Context, op *standin.Operator, acknowledged uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	version, err := op.Get(ctx)
+	version, digest, err := op.Get(ctx)
 	if err == nil && version < acknowledged {
 		fmt.Printf("read version %d after version %d was acknowledged\n", version, acknowledged)
 		p.staleReads++
 	}
+	if known, ok := p.digests[version]; err == nil && ok && known != digest {
+		p.check.fail("contents-changed", "version %d", version)
+	}
+	p.digests[version] = digest
 	return err
 }
 
@@ -382,7 +452,11 @@
 	fmt.Printf("flows-broken: %d\nrequests-moved: %d\nflows-late: %d\nreads-stale: %d\n",
 		c.Broken.Load(), c.Moved.Load(), late, p.staleReads)
 	fmt.Printf("evacuations: %d\nflows-into-evacuated: %d\nslowest-evacuation-order: %s\n", p.evacuations, evacuated, p.slowestOrder.Round(time.Millisecond))
-	if evacuated > 0 || c.Served.Load() == 0 || c.Broken.Load() > 0 || c.Moved.Load() > 0 || c.Refused.Load() > 0 || late > 0 || p.staleReads > 0 {
+	fmt.Printf("documents-probed: %d\n", p.check.probes)
+	for _, kind := range []string{"documents-back", "documents-late", "routes-missing", "invalid-accepted", "contents-changed"} {
+		fmt.Printf("%s: %d\n", kind, p.check.failures[kind])
+	}
+	if len(p.check.failures) > 0 || evacuated > 0 || c.Served.Load() == 0 || c.Broken.Load() > 0 || c.Moved.Load() > 0 || c.Refused.Load() > 0 || late > 0 || p.staleReads > 0 {
 		return errViolation
 	}
 	return nil
--- a/emulator/cmd/catkinrail-emulator/proxy.go
+++ b/emulator/cmd/catkinrail-emulator/proxy.go
@@ -19,6 +19,7 @@
 	c := app.Command("platform-proxy", "Proxy connections to control instances and inject network faults.")
 	links := c.Flag("node", "Addresses of a control instance as LISTEN=TARGET; repeat it for all.").Required().Strings()
 	seed := c.Flag("seed", "Seed of the faults.").Required().Uint64()
+	duration := c.Flag("duration", "Time for which faults are injected; 0 for as long as the proxy runs.").Duration()
 	return command{clause: c, run: func(ctx context.Context) error {
 		g, ctx := errgroup.WithContext(ctx)
 		var instances []*proxy.Instance
@@ -35,7 +36,12 @@
 			instances = append(instances, n)
 		}
 		g.Go(func() error {
-			proxy.InjectFaults(ctx, *seed, instances, os.Stdout)
+			faults, cancel := ctx, context.CancelFunc(func() {})
+			if *duration > 0 {
+				faults, cancel = context.WithTimeout(ctx, *duration)
+			}
+			defer cancel()
+			proxy.InjectFaults(faults, *seed, instances, os.Stdout)
 			return nil
 		})
 		return g.Wait()
--- a/scripts/platform-lib.sh
+++ b/scripts/platform-lib.sh
@@ -26,9 +26,9 @@
 	start "$1" env CATKINRAIL_NODE_FILE="$out/$1.yaml" "$bin/$program" --platform
 }
 
-# start_platform [SEED]: starts three zones, each with a control instance and two entry
+# start_platform [SEED SECONDS]: starts three zones, each with a control instance and two entry
 # instances. With a seed, all connections to control instances go through a proxy that
-# injects faults drawn from the seed.
+# injects faults drawn from the seed for the time.
 start_platform() {
 	local z n args
 	if [ $# -gt 0 ]; then
@@ -36,7 +36,7 @@
 		for z in 1 2 3; do
 			args+=(--node "127.$net.$z.100=127.$net.$z.101")
 		done
-		start platform-proxy "$bin/catkinrail-emulator" platform-proxy --seed "$1" "${args[@]}"
+		start platform-proxy "$bin/catkinrail-emulator" platform-proxy --seed "$1" --duration "$2s" "${args[@]}"
 	fi
 	for z in 1 2 3; do
 		args=()
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,7 +7,10 @@
 # replaced, zones are evacuated, and callers' packets are lost or repeated. Fails if no request is served, a
 # flow breaks, is refused, reaches a second backend server or opens too late on a
 # draining one or in an evacuated zone, or a document is read that is older than an
-# acknowledged one.
+# acknowledged one. Every entry instance is probed all the time: it must not go back to an older
+# document or refuse a route that was acknowledged 3 s before, and 4 s after the last fault another
+# document must be in force everywhere within 3 s. Invalid documents, documents of two operators
+# under one version, and acknowledged ones that are sent again are mixed in.
 set -u
 seed=${1:?usage: soak.sh SEED [SECONDS [NET]]}
 seconds=${2:-20}
@@ -20,7 +23,7 @@
 . "$(dirname "$0")/platform-lib.sh"
 trap stop_all EXIT
 RANDOM=$seed
-start_platform "$seed"
+start_platform "$seed" "$((seconds + 2))"
 start_platform_run --duration "${seconds}s" --soak "$seed"
 run_pid=${pid_of[platform-run]}
 
