--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -109,32 +109,37 @@
 	if d.creds == nil {
 		d.log.Info().Msg("TLS is off; only loopback addresses are accepted")
 	}
-	j, stored, err := d.awaitStore(ctx)
-	if err != nil {
+	var j *journal.Journal
+	var stored quorum.Stored
+	if err := d.retryOpen(ctx, func() (err error) {
+		j, stored, err = d.openStore()
+		return err
+	}); err != nil {
 		return err
 	}
 	return d.serve(ctx, g, j, stored)
 }
 
-// awaitStore opens the data folder. It tries again while the disk is full or doesn't work, until
-// the instance is asked to stop: a process that ended instead would be started again and again.
-func (d *daemon) awaitStore(ctx context.Context) (*journal.Journal, quorum.Stored, error) {
+// retryOpen calls open again, at an interval, while it fails since the disk is full or doesn't work.
+// It ends when the instance is asked to stop: a process that ended instead would be started again
+// and again.
+func (d *daemon) retryOpen(ctx context.Context, open func() error) error {
 	ticker := time.NewTicker(openInterval)
 	defer ticker.Stop()
 	for attempt := 1; ; attempt++ {
-		j, stored, err := d.openStore()
+		err := open()
 		if err == nil || !disk.Transient(err) {
-			return j, stored, err
+			return err
 		}
 		if attempt == 1 {
 			d.log.Error(err).Msg("data folder could not be opened; trying again")
 		}
 		select {
 		case <-ctx.Done():
-			return nil, stored, ctx.Err()
+			return ctx.Err()
 		case <-d.stopping.Done():
 			d.stop()
-			return nil, stored, context.Canceled
+			return context.Canceled
 		case <-ticker.C:
 		}
 	}
--- a/control/cmd/catkinrail-control/main_test.go
+++ b/control/cmd/catkinrail-control/main_test.go
@@ -1,12 +1,18 @@
 package main
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"catkinrail.example/catkinrail/logs"
 )
 
 // Collection is turned on again once the heap has grown beyond the limit, even if nobody
@@ -22,3 +28,39 @@
 	require.Equal(t, limit, debug.SetMemoryLimit(-1))
 	require.Equal(t, 100, debug.SetGCPercent(100))
 }
+
+// TestStartOnFullDisk guards against processes that end, and are started again and again, while
+// their disk is full.
+func TestStartOnFullDisk(t *testing.T) {
+	full, damaged := fmt.Errorf("write identity: %w", syscall.ENOSPC), errors.New("damaged")
+	tests := []struct {
+		name     string
+		attempts []error
+		stopped  bool
+		want     error
+	}{
+		{"room at once", []error{nil}, false, nil},
+		{"full, then room", []error{full, full, nil}, false, nil},
+		{"full, then damaged", []error{full, damaged}, false, damaged},
+		{"asked to stop while it is full", []error{full}, true, context.Canceled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			stopping, stop := context.WithCancel(t.Context())
+			defer stop()
+			ctx, cancel := context.WithCancel(t.Context())
+			d := &daemon{log: logs.Discard(), stopping: stopping, stop: cancel}
+			calls := 0
+			err := d.retryOpen(ctx, func() error {
+				calls++
+				if tt.stopped {
+					stop()
+				}
+				return tt.attempts[calls-1]
+			})
+			require.ErrorIs(t, err, tt.want)
+			require.Equal(t, len(tt.attempts), calls)
+			require.Equal(t, tt.stopped, ctx.Err() != nil)
+		})
+	}
+}
--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -129,21 +129,10 @@
 			add(f.field, fmt.Sprintf("%q must be an IP address and a port", f.value))
 		}
 	}
-	if s.Listen == "" {
-		s.Listen = s.Address
-	}
-	if s.Lease == 0 {
-		s.Lease = defaultLease
-	}
+	s.fillDefaults()
 	if s.Lease < minLease || s.Lease > maxLease {
 		add("lease", fmt.Sprintf("must be from %s to %s", minLease, maxLease))
 	}
-	if s.SilentAfter == 0 {
-		s.SilentAfter = defaultSilentAfter
-	}
-	if s.ReuseAfter == 0 {
-		s.ReuseAfter = defaultReuseAfter
-	}
 	for _, f := range []struct {
 		field string
 		value time.Duration
@@ -152,15 +141,9 @@
 			add(f.field, "must not be negative")
 		}
 	}
-	if s.ToleratedLosses == 0 {
-		s.ToleratedLosses = (len(s.Peers) - 1) / 2
-	}
 	if s.ToleratedLosses < 0 {
 		add("tolerated-losses", "must not be negative")
 	}
-	if s.WarmupOverage == 0 {
-		s.WarmupOverage = 1
-	}
 	if !(s.WarmupOverage >= 1 && s.WarmupOverage <= maxWarmupOverage) {
 		add("warmup-overage", fmt.Sprintf("must be from 1 to %d", maxWarmupOverage))
 	}
@@ -172,6 +155,27 @@
 	return append(errs, settings.Prefix("log", s.Log.Validate())...)
 }
 
+func (s *Settings) fillDefaults() {
+	if s.Listen == "" {
+		s.Listen = s.Address
+	}
+	if s.Lease == 0 {
+		s.Lease = defaultLease
+	}
+	if s.SilentAfter == 0 {
+		s.SilentAfter = defaultSilentAfter
+	}
+	if s.ReuseAfter == 0 {
+		s.ReuseAfter = defaultReuseAfter
+	}
+	if s.ToleratedLosses == 0 {
+		s.ToleratedLosses = (len(s.Peers) - 1) / 2
+	}
+	if s.WarmupOverage == 0 {
+		s.WarmupOverage = 1
+	}
+}
+
 func (s *Settings) validatePeers() []catkinrail.FieldError {
 	var errs []catkinrail.FieldError
 	if len(s.Peers) < minPeers || len(s.Peers) > maxPeers {
--- a/coordination/token/room.go
+++ b/coordination/token/room.go
@@ -33,9 +33,10 @@
 // requests than they answer in time.
 type Crowding struct {
 	Service string
-	// Zone and Instances are what the shares were calculated from.
+	// Zone, Instances and MeanWork are what the shares were calculated from.
 	Zone      admission.Zone
 	Instances int
+	MeanWork  time.Duration
 	// Refused is the number of flows that were refused, and Elsewhere that of flows that went to
 	// another zone instead.
 	Refused, Elsewhere int
@@ -50,7 +51,7 @@
 		}
 		zone, instances := s.room.Load()
 		list = append(list, Crowding{
-			Service: name, Zone: zone, Instances: instances, Refused: s.refused, Elsewhere: s.elsewhere,
+			Service: name, Zone: zone, Instances: instances, MeanWork: s.request.MeanWork, Refused: s.refused, Elsewhere: s.elsewhere,
 		})
 		s.refused, s.elsewhere = 0, 0
 	}
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -87,11 +87,11 @@
 	if s.parts == nil {
 		s.parts = map[message.PartOf][]byte{}
 	}
-	whole := append(s.parts[u.PartOf], u.Part...)
-	s.parts[u.PartOf] = whole
+	s.parts[u.PartOf] = append(s.parts[u.PartOf], u.Part...)
 	if !u.Last {
 		return &message.FollowUpdate{}, nil
 	}
+	whole := s.parts[u.PartOf]
 	delete(s.parts, u.PartOf)
 	u = &message.FollowUpdate{}
 	return u, cluster.DecodeCompressed(whole, u)
--- a/entry/packet/worker.go
+++ b/entry/packet/worker.go
@@ -192,7 +192,7 @@
 		c := &w.crowding[i]
 		w.log.Info().Str("service", c.Service).Int("refused", c.Refused).Int("elsewhere", c.Elsewhere).
 			Int("slots", c.Zone.Slots).Int("pending", c.Zone.Pending).Int64("latency-ms", c.Zone.Latency.Milliseconds()).
-			Int("instances", c.Instances).Msg("service crowded")
+			Int("instances", c.Instances).Int64("mean-work-us", c.MeanWork.Microseconds()).Msg("service crowded")
 	}
 }
 
