directory: ignore a report for an unknown service under a living name

Change: such a report is ignored until the document names the service.

Result: the new row of TestLastWriterWins fails without the change, passes now.

--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -149,6 +149,11 @@
 	if old == nil && len(d.entries) >= maxEntries {
 		return Ignored
 	}
+	if old != nil && !old.inc.Gone && inc.Service != old.inc.Service && !d.known(inc.Service) {
+		// Another writer's report under the same name. If the service becomes known, the next
+		// report counts.
+		return Ignored
+	}
 	same := old != nil && sameState(&old.inc, inc) && !old.silent
 	if old == nil {
 		old = &entry{}
--- a/state/directory/directory_test.go
+++ b/state/directory/directory_test.go
@@ -110,6 +110,7 @@
 			{inc: old}, {inc: report("b", 200, 1, 1), after: reuseAfter}, {inc: report("a", 100, 10, 1), after: reuseAfter},
 		}, map[string]int64{"a": 100}, nil},
 		{"a report for an unknown service", []change{{inc: old}, {inc: unknown("b", 200, 1, 1), after: time.Hour}}, map[string]int64{"a": 100}, nil},
+		{"a report for an unknown service under the same name", []change{{inc: old}, {inc: unknown("a", 200, 1, 1), after: time.Hour}, {inc: report("a", 100, 10, 1)}}, map[string]int64{"a": 100}, nil},
 		{"a report for an unknown service comes first", []change{{inc: unknown("b", 200, 1, 1)}, {inc: old}}, map[string]int64{"a": 100}, nil},
 		{"another address", []change{{inc: old}, {inc: report("b", 200, 1, 2)}}, map[string]int64{"a": 100, "b": 200}, nil},
 	}
