--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -263,7 +263,8 @@
 	dir := gossip.New(gossip.Config{
 		Self: d.self(), Clock: clk, Log: d.log, Creds: d.creds, Group: g, Seeds: d.seeds,
 		SilentAfter: d.cfg.SilentAfter, ReuseAfter: d.cfg.ReuseAfter,
-		Document: func() *catkinrail.Document { return c.Published().Document }, Members: func() *quorum.Members { return c.Published().Members }, Dir: d.dir,
+		Document: func() *catkinrail.Document { return c.Published().Document },
+		Members:  func() *quorum.Members { return c.Published().Members }, Dir: d.dir,
 	})
 	streams := follow.New(c, dir, clk, d.log)
 	reg := metrics.NewRegistry()
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -101,6 +101,7 @@
 	node    *quorum.Node
 	state   *cluster.State
 	leader  leaderState
+	// changes are the latest applied changes.
 	changes changeLog
 	// changed is closed and replaced after each change.
 	changed chan struct{}
@@ -490,9 +491,9 @@
 	return &LeaderError{Leader: m.Nodes[c.node.LeaderID()].Addr}
 }
 
-// propose evaluates the proposal, unless nobody waits for it any more, against the applied state and appends its entry
-// to the log. The applied state is the latest since only one proposal is in
-// flight at a time.
+// propose evaluates the proposal, unless nobody waits for it any more, against the
+// applied state and appends its entry to the log. The applied state is the latest since
+// only one proposal is in flight at a time.
 func (c *Core) propose(p *proposal) {
 	evaluate := p.take()
 	if evaluate == nil {
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -22,11 +22,11 @@
 	// becomes a voter.
 	maxPromotionLag = 16
 	// replaceAfter is the silence after which a voter's place passes to a new instance. It is
-	// longer than a restart, and with an election and the time to catch up shorter than the
-	// time that successors have on the platform.
+	// longer than a restart. With an election before and the time to catch up after it, it is
+	// shorter than the 4 s that a successor has on the platform until it counts.
 	replaceAfter = 3 * time.Second
-	// respondWithin is the age of a voter's last answer up to which it isn't silent. It covers
-	// several heartbeats.
+	// respondWithin is the age of a voter's last answer up to which it isn't silent: several
+	// heartbeats.
 	respondWithin = 500 * time.Millisecond
 )
 
