--- a/control/core/core.go
+++ b/control/core/core.go
@@ -97,10 +97,10 @@
 type Core struct {
 	cfg Config
 	// inbox queues calls for the goroutine of Run.
-	inbox   chan func()
-	node    *quorum.Node
-	state   *cluster.State
-	leader  leaderState
+	inbox  chan func()
+	node   *quorum.Node
+	state  *cluster.State
+	leader leaderState
 	// changes are the latest applied changes.
 	changes changeLog
 	// changed is closed and replaced after each change.
