--- a/emulator/cmd/catkinrail-emulator/platform_documents.go
+++ b/emulator/cmd/catkinrail-emulator/platform_documents.go
@@ -4,13 +4,12 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"catkinrail.example/catkinrail/emulator/control"
 	"catkinrail.example/catkinrail/platform/standin"
 	"catkinrail.example/catkinrail/transport/clock"
 )
@@ -25,7 +24,14 @@
 	interval := c.Flag("interval", "Least time between two documents.").Default("95ms").Duration()
 	processes := c.Flag("process", "NAME=PID of a process to measure; repeat it for all.").StringMap()
 	return command{clause: c, run: func(ctx context.Context) error {
-		m := documentsMeasurement{processes: *processes, peaks: map[string]int{}}
+		m := documentsMeasurement{processes: map[string]int{}, peaks: map[string]float64{}}
+		for name, text := range *processes {
+			pid, err := strconv.Atoi(text)
+			if err != nil {
+				return fmt.Errorf("process %s: %w", name, err)
+			}
+			m.processes[name] = pid
+		}
 		for _, ip := range *controls {
 			m.op.Control = append(m.op.Control, fmt.Sprintf("%s:%d", ip, standin.ControlPort))
 		}
@@ -36,9 +42,9 @@
 // documentsMeasurement holds what was measured while documents were put.
 type documentsMeasurement struct {
 	op standin.Operator
-	// processes maps names to process IDs, peaks to the largest resident sizes in kB.
-	processes map[string]string
-	peaks     map[string]int
+	// processes maps names to process IDs, peaks to the largest resident sizes in MiB.
+	processes map[string]int
+	peaks     map[string]float64
 }
 
 func (m *documentsMeasurement) run(ctx context.Context, routes, versions int, interval time.Duration) error {
@@ -54,7 +60,7 @@
 	}
 	fmt.Printf("documents: %d\nroutes: %d\nslowest-acknowledgement: %s\n", versions, routes, slowest.Round(time.Millisecond))
 	for name, peak := range m.peaks {
-		fmt.Printf("peak-%s: %.1f MB\n", name, float64(peak)/1024)
+		fmt.Printf("peak-%s: %.1f MB\n", name, peak)
 	}
 	return nil
 }
@@ -72,15 +78,6 @@
 // sample records the resident sizes of the processes.
 func (m *documentsMeasurement) sample() {
 	for name, pid := range m.processes {
-		b, err := os.ReadFile("/proc/" + pid + "/status")
-		if err != nil {
-			fmt.Fprintf(os.Stderr, "process %s: %v\n", name, err)
-			continue
-		}
-		_, rest, _ := strings.Cut(string(b), "VmRSS:")
-		if fields := strings.Fields(rest); len(fields) > 0 {
-			kb, _ := strconv.Atoi(fields[0])
-			m.peaks[name] = max(m.peaks[name], kb)
-		}
+		m.peaks[name] = max(m.peaks[name], control.ResidentMB(pid))
 	}
 }
--- a/emulator/control/measure.go
+++ b/emulator/control/measure.go
@@ -174,7 +174,7 @@
 		r.ControlCorePercent = max(r.ControlCorePercent, 100*(used-cpuBefore[i]).Seconds()/elapsed)
 	}
 	for _, pid := range cfg.PIDs {
-		r.ControlMegabytes = max(r.ControlMegabytes, residentMB(pid))
+		r.ControlMegabytes = max(r.ControlMegabytes, ResidentMB(pid))
 	}
 }
 
@@ -246,8 +246,8 @@
 	return time.Duration(ticks) * cpuTick
 }
 
-// residentMB returns a process's resident memory in MiB, or 0 on an error.
-func residentMB(pid int) float64 {
+// ResidentMB returns a process's resident memory in MiB, or 0 on an error.
+func ResidentMB(pid int) float64 {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return 0
