directory: let no late report supersede a backend server for long

Change: contested addresses are settled at each tick; a stall doesn't make a report look newer; packets of a superseded server are refused after 5 s, more than the 2 s for which a late report can supersede it.

Result: TestLateReportsAfterReuse passes; it holds the address for 2 s and not as long as the cut.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -292,8 +292,8 @@
 	}
 }
 
-// checkSilence marks the backend servers that have not reported in time, except
-// while a member can't be reached. Time in which this process was stalled doesn't
+// checkSilence settles contested addresses and marks the backend servers that have not
+// reported in time, the latter not while a member can't be reached. Time in which this process was stalled doesn't
 // count.
 func (d *Directory) checkSilence() {
 	d.mu.Lock()
@@ -304,6 +304,9 @@
 		d.dir.CompensateStall(stall)
 	}
 	d.lastTick = now
+	if d.dir.Settle(now) {
+		d.notifyChange()
+	}
 	if d.memberUnreachable() {
 		// Missing reports may have gone to an instance that can't be reached.
 		return
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -345,6 +345,28 @@
 	require.False(t, ended(t, d, "s2"))
 }
 
+// TestLateReportsAfterReuse guards against flows that are reset at the new holder of an address: an
+// instance that stood still receives late reports of the earlier holder and then one of the new holder,
+// whose further reports go to an instance that it can't reach.
+func TestLateReportsAfterReuse(t *testing.T) {
+	p := newPair(t)
+	p.exchange()
+	earlier, later := incarnation("s1", "a", 1), incarnation("s1", "a", 1)
+	later.Name, later.StartedAt = "t1", 900
+	p.a.Report(earlier)
+	p.failCall()
+	p.a.checkSilence()
+	p.advance(5 * time.Second)
+	earlier.Sequence = 2
+	p.a.Report(earlier)
+	p.a.Report(later)
+	p.a.checkSilence()
+	p.advance(2*time.Second + tickInterval)
+	p.a.checkSilence()
+	require.False(t, ended(t, p.a, "t1"))
+	require.True(t, ended(t, p.a, "s1"))
+}
+
 // TestEndOfOlderBuildIsContradicted guards against backend servers that are lost for good because
 // an older build has saved them as ended, after another writer's report at their address.
 func TestEndOfOlderBuildIsContradicted(t *testing.T) {
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -139,6 +139,9 @@
 	// its flows are refused. A backend server may still send its last packets when
 	// it reports that it leaves.
 	endGracePeriod = 2 * time.Second
+	// supersededGracePeriod is the same for an incarnation that is superseded. It is longer than
+	// the 2 s for which a late report of the earlier holder of its address may supersede it.
+	supersededGracePeriod = 5 * time.Second
 	// answerTimeout is the time after which a request no longer counts as pending:
 	// its caller has given up.
 	answerTimeout = 5 * time.Second
@@ -203,6 +206,14 @@
 // Ended reports whether the incarnation has ended, by its own word or as its address was reused.
 func (b *Backend) Ended() bool { return b.Gone || b.superseded }
 
+// gracePeriod returns the time after the end from which packets are refused.
+func (b *Backend) gracePeriod() time.Duration {
+	if b.Gone {
+		return endGracePeriod
+	}
+	return supersededGracePeriod
+}
+
 // flow is the state of a flow that this instance has received packets of.
 type flow struct {
 	backend *Backend
@@ -326,7 +337,7 @@
 	if b == nil {
 		return Verdict{Action: Drop, Reason: ReasonUnknownToken}
 	}
-	if b.Ended() && now-b.endedAt > int64(endGracePeriod) {
+	if b.Ended() && now-b.endedAt > int64(b.gracePeriod()) {
 		if p.Reset {
 			return Verdict{Action: Drop, Reason: ReasonGone}
 		}
--- a/state/directory/claim.go
+++ b/state/directory/claim.go
@@ -55,6 +55,18 @@
 	return d.settle(e.inc.Addr, c, now)
 }
 
+// Settle passes contested addresses on whose holders no longer report, and reports whether one
+// was. Unlike Tick, it must also run while reports may be missing: an incarnation must not be
+// superseded for long by a late report of the one that has ended.
+func (d *Directory) Settle(now int64) (changed bool) {
+	for addr, c := range d.claims {
+		if len(c.names) > 1 && d.settle(addr, c, now) {
+			changed = true
+		}
+	}
+	return changed
+}
+
 // settle decides who holds an address.
 func (d *Directory) settle(addr netip.AddrPort, c *claim, now int64) (changed bool) {
 	if len(c.names) == 0 {
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -224,8 +224,7 @@
 	return true
 }
 
-// Tick marks backend servers that have fallen silent, and passes contested addresses on whose
-// holders no longer report. It expires ended and silent ones
+// Tick marks backend servers that have fallen silent. It expires ended and silent ones
 // whose last report or leave is older than catkinrail.EndedRetention. It returns the
 // names of the newly silent ones.
 func (d *Directory) Tick(now int64) []string {
@@ -243,11 +242,6 @@
 			silent = append(silent, name)
 		}
 	}
-	for addr, c := range d.claims {
-		if len(c.names) > 1 {
-			d.settle(addr, c, now)
-		}
-	}
 	slices.Sort(silent)
 	return silent
 }
@@ -257,9 +251,6 @@
 func (d *Directory) CompensateStall(span int64) {
 	for _, e := range d.entries {
 		e.lastReport += span
-		if e.heardAt != 0 {
-			e.heardAt += span
-		}
 	}
 }
 
