core: log which voters are heard while no leader is known

Cause: four control instances answered "no leader is known" for 40 s and more. Their logs had undelivered messages and no word on how many had a vote, which of these were heard, or how many more a majority needed.

Change: each instance records when it heard each other one. After 2 s without a leader it logs, every 10 s at most, its part in the members, the voters with the time since their last messages, the votes that a majority lacks (of two majorities, while a voter takes the place of another), the learners, and the instances that it hears and doesn't have as members; and then that a leader is known again. The members are logged at the start. A follower hears its leader alone and counts all voters as heard. The tests' clusters deliver messages as Step does.

TestMissingLeaderIsLogged and TestVoteReport fail without the record of senders, the line, the second majority, or the limit to what was heard since the leader was lost.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -122,6 +122,8 @@
 	// advanced is closed and replaced when a state is published.
 	advanced atomic.Pointer[chan struct{}]
 	synced   atomic.Int64
+	contacts contacts
+	votes    atomic.Pointer[VoteReport]
 }
 
 // proposal is a change of the cluster state that is not committed yet: it waits to be
@@ -175,10 +177,12 @@
 		changed: make(chan struct{}),
 		stopped: make(chan struct{}),
 	}
+	c.contacts = contacts{heard: map[quorum.NodeID]int64{}, leaderAt: c.now()}
 	c.advanced.Store(newSignal())
 	if err := c.startFromDisk(); err != nil {
 		return nil, err
 	}
+	c.updateVotes()
 	return c, nil
 }
 
@@ -216,6 +220,7 @@
 		}
 		c.confirmReads()
 		c.publish()
+		c.updateVotes()
 	}
 }
 
@@ -260,7 +265,7 @@
 			if m.Kind == quorum.Probe && c.cfg.Reconnect != nil {
 				c.cfg.Reconnect(m.From)
 			}
-			c.node.Step(m, c.now())
+			c.handleMessage(m)
 		}
 	}:
 		return nil
--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -112,7 +112,7 @@
 		if tc.down[m.From] || tc.down[m.To] {
 			continue
 		}
-		tc.cores[m.To].node.Step(m, tc.cores[m.To].now())
+		tc.cores[m.To].handleMessage(m)
 		tc.process(m.To)
 	}
 }
@@ -124,6 +124,7 @@
 	require.NoError(tc.t, c.handleReady())
 	c.confirmReads()
 	c.publish()
+	c.updateVotes()
 }
 
 func (tc *testCluster) leader() *Core {
--- a/control/core/document.go
+++ b/control/core/document.go
@@ -44,6 +44,8 @@
 	c.published.Store(s)
 	if old != nil {
 		c.logChange(old, s)
+	} else {
+		c.logMembers()
 	}
 	close(*c.advanced.Swap(newSignal()))
 }
@@ -69,6 +71,13 @@
 	}
 }
 
+// logMembers logs the members that the instance has at its start.
+func (c *Core) logMembers() {
+	r := c.contacts.report(c.node.Members(), c.node.ID(), 0, c.now())
+	c.cfg.Log.Info().Str("role", r.Role).Interface("voters", r.Voters).Strs("learners", r.Learners).
+		Uint64("index", c.publishedMembersIndex).Msg("members at the start")
+}
+
 func newSignal() *chan struct{} {
 	ch := make(chan struct{})
 	return &ch
