control: tell in errors why no leader is known

Cause: reads and changes failed with "no leader is known" alone. Change: the error has the voters that are heard and how many more are needed, or that the instance is no voter, or how long there has been no leader. Status codes are as before; nothing in the project matches the text.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -51,12 +51,14 @@
 type LeaderError struct {
 	// Leader is empty if no leader is known.
 	Leader string
+	// Votes tells why no leader is known.
+	Votes *VoteReport
 }
 
 // Error implements error.
 func (e *LeaderError) Error() string {
 	if e.Leader == "" {
-		return "not the leader; the leader is not known"
+		return fmt.Sprintf("not the leader; the leader is not known: %s", e.Votes)
 	}
 	return fmt.Sprintf("not the leader; the leader is at %s", e.Leader)
 }
@@ -493,7 +495,7 @@
 
 func (c *Core) leaderError() error {
 	m := c.node.Members()
-	return &LeaderError{Leader: m.Nodes[c.node.LeaderID()].Addr}
+	return &LeaderError{Leader: m.Nodes[c.node.LeaderID()].Addr, Votes: c.Votes()}
 }
 
 // propose evaluates the proposal, unless nobody waits for it any more, against the
--- a/control/document/store.go
+++ b/control/document/store.go
@@ -28,9 +28,6 @@
 	retryInterval = 20 * time.Millisecond
 )
 
-// errNoLeader means that no leader is known.
-var errNoLeader = errors.New("no leader is known")
-
 // Store implements catkinrail.DocumentStore.
 type Store struct {
 	core    *core.Core
@@ -86,7 +83,7 @@
 	}
 	leader, ok := state.Members.Nodes[state.Leader]
 	if !ok {
-		return errNoLeader
+		return c.NoLeaderError()
 	}
 	// The body is encoded as changes in the log are.
 	body, err := cluster.EncodeCompressed(&cluster.Change{Events: []cluster.Event{{DocumentPut: d}}})
@@ -126,7 +123,7 @@
 	}
 	leader, ok := state.Members.Nodes[state.Leader]
 	if !ok {
-		return 0, errNoLeader
+		return 0, c.NoLeaderError()
 	}
 	var reply message.ReadIndexReply
 	err := s.clients.Get(leader.Addr).Call(ctx, "read index", attemptTimeout, func(ctx context.Context, conn drpc.Conn) error {
--- a/control/evacuation/store.go
+++ b/control/evacuation/store.go
@@ -29,9 +29,6 @@
 	retryInterval = 20 * time.Millisecond
 )
 
-// errNoLeader means that no leader is known.
-var errNoLeader = errors.New("no leader is known")
-
 // Store implements catkinrail.EvacuationStore.
 type Store struct {
 	core    *core.Core
@@ -122,7 +119,7 @@
 	}
 	leader, ok := state.Members.Nodes[state.Leader]
 	if !ok {
-		return errNoLeader
+		return s.core.NoLeaderError()
 	}
 	body, err := cluster.EncodeCompressed(o)
 	if err != nil {
