core: log by name what changes in the members

Cause: "members changed" had numbers only, and nothing told which instance lost its vote to which. Change: the line lists each instance that was added, became a voter and in whose place, lost its vote, was removed, updated, or marked, with the index of the entry. Changes of addresses are logged as well.

--- a/control/core/document.go
+++ b/control/core/document.go
@@ -64,9 +64,9 @@
 		c.cfg.Log.Info().Uint64("revision", s.Evacuations.Revision).Uint64("applied", s.Applied).
 			Interface("zones", s.Evacuations.Zones).Msg("evacuations in force")
 	}
-	if !slices.Equal(cluster.SortedKeys(old.Members.Nodes), cluster.SortedKeys(s.Members.Nodes)) ||
-		old.Members.Voters() != s.Members.Voters() {
-		c.cfg.Log.Info().Int("voters", s.Members.Voters()).Int("members", len(s.Members.Nodes)).
+	if list := memberChanges(old.Members, s.Members); len(list) > 0 {
+		c.cfg.Log.Info().Strs("changes", list).Uint64("index", c.publishedMembersIndex).
+			Int("voters", s.Members.Voters()).Int("members", len(s.Members.Nodes)).
 			Uint64("applied", s.Applied).Msg("members changed")
 	}
 }
