catkinrail-control: serve gauges of the votes

Cause: nothing outside an instance showed that a majority was about to be lost. Change: gauges voters, learners, voters-silent, votes-missing, losses-left and leaderless-ms, also while no leader is known. Result: four instances on loopback: losses_left 1; with two ended, 5 s later at both others voters_silent 2, votes_missing 1, losses_left -1, leaderless_ms 4,999 and 5,003.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -459,7 +459,8 @@
 	instances := metrics.GetOrRegisterGauge("instances", reg)
 	ready := func() error {
 		loads.UpdateMetrics()
-		err := errors.New("no leader is known")
+		updateVoteMetrics(c.Votes(), reg)
+		err := c.NoLeaderError()
 		localErr := c.Local(ctx, func(s *cluster.State, status *core.Status) {
 			version.Update(int64(s.Version))
 			commit.Update(int64(status.Commit))
@@ -478,3 +479,20 @@
 	}
 	return metricspage.Serve(ctx, d.cfg.Metrics, "catkinrail_control", reg, ready)
 }
+
+// updateVoteMetrics sets the gauges of the votes.
+func updateVoteMetrics(r *core.VoteReport, reg metrics.Registry) {
+	for _, g := range []struct {
+		name  string
+		value int64
+	}{
+		{"voters", int64(len(r.Voters))},
+		{"learners", int64(len(r.Learners))},
+		{"voters-silent", int64(r.Silent())},
+		{"votes-missing", int64(r.Missing())},
+		{"losses-left", int64(r.LossesLeft)},
+		{"leaderless-ms", r.Leaderless.Milliseconds()},
+	} {
+		metrics.GetOrRegisterGauge(g.name, reg).Update(g.value)
+	}
+}
