--- a/ctl/report/report.go
+++ b/ctl/report/report.go
@@ -72,7 +72,7 @@
 // eventMessages are the log messages that are reported as events.
 var eventMessages = []string{
 	"started", "leaving", "shut down", "ready", "overload changed", "document in force", "leader changed",
-	"members changed", "backend servers silent", "control instance lost", "control instance is out of touch",
+	"members changed", "no leader is known", "leader is known again", "backend servers silent", "control instance lost", "control instance is out of touch",
 	"process was held up", "settings reloaded", "settings not reloaded",
 }
 
