membership: exchange all instances in the property test

Cause: the property test drew one replacement at a time, waited for the end of each stop, and lost disks while the others kept running. So votes of instances that had gone never added up.

Change: instances stop concurrently and ask for up to 5 s, also the next leader.

--- a/coordination/membership/group_test.go
+++ b/coordination/membership/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -22,6 +23,12 @@
 	recovery = 12 * time.Second
 	// outOfContact is the time out of contact after which an instance asks to join again.
 	outOfContact = 2 * time.Second
+	// grace is the time for which an instance that is told to stop asks to leave.
+	grace = 5 * time.Second
+	// leaveTime is the time with a leader in which every planned stop must be settled.
+	leaveTime = 2 * time.Second
+	// restartTime is the time from the end of an instance to its next start.
+	restartTime = 300 * time.Millisecond
 )
 
 var timing = quorum.Timing{
@@ -42,6 +49,27 @@
 	// replaces, until it has run for catchUp beside a leader. healthy counts that time.
 	lost    bool
 	healthy time.Duration
+	// spare is set until catchUp after the first start of an instance that replaces none.
+	spare bool
+	// unnoticed is set while lost stands for a removed instance that only its silence tells
+	// from the others. Time counts while all others are reachable and the leader is the same.
+	unnoticed bool
+	// confirmed is set once a leader has answered since the start that nothing is left to do
+	// for the instance's vote.
+	confirmed bool
+	stopping  *stopping
+	// startAt is the time of the next start, or zero if none is due.
+	startAt time.Duration
+}
+
+// stopping is the state of an instance that was told to stop.
+type stopping struct {
+	until time.Duration
+	// asked is the time during which a leader was asked.
+	asked time.Duration
+	// ended is called once the instance is down; settled tells whether a leader had its time
+	// to take the vote from it.
+	ended func(settled bool)
 }
 
 // group simulates the instances in use, their network and their requests to join.
@@ -55,6 +83,7 @@
 	instances []*instance
 	// removed counts the places of removed instances whose successors haven't started.
 	removed  int
+	lastLead quorum.NodeID
 	inFlight []quorum.Message
 	// acked holds the acknowledged values in order.
 	acked []string
@@ -85,6 +114,7 @@
 
 func (g *group) start(in *instance) {
 	in.down, in.applied = false, nil
+	in.confirmed, in.stopping, in.startAt = false, nil, 0
 	in.node = quorum.New(in.id, timing, g.rng.Uint64(), quorum.Stored{
 		HardState: in.stored.HardState, Snapshot: in.stored.Snapshot, Entries: append([]quorum.Entry(nil), in.stored.Entries...),
 	}, int64(g.now))
@@ -94,12 +124,13 @@
 // wipe ends an instance and replaces its disk by an empty one. It starts with a new identity.
 func (g *group) wipe(in *instance) {
 	g.nextID++
-	in.id, in.stored, in.down, in.lost, in.healthy = g.nextID, quorum.Stored{}, true, true, 0
+	g.stop(in)
+	in.id, in.stored, in.lost, in.spare, in.healthy = g.nextID, quorum.Stored{}, true, false, 0
 }
 
 // remove takes an instance out of use for good.
 func (g *group) remove(in *instance) {
-	in.down = true
+	g.stop(in)
 	for i, other := range g.instances {
 		if other == in {
 			g.instances = append(g.instances[:i:i], g.instances[i+1:]...)
@@ -149,6 +180,9 @@
 func (g *group) run(d time.Duration) {
 	for end := g.now + d; g.now < end; g.now += tick {
 		for _, in := range g.instances {
+			if in.down && in.startAt > 0 && g.now >= in.startAt {
+				g.start(in)
+			}
 			if !in.down {
 				in.node.Tick(int64(g.now))
 				g.process(in)
@@ -174,17 +208,16 @@
 }
 
 // changeMembers takes the leader's steps: instances that are out of contact, or have no vote, ask
-// to join, and silent ones are evicted.
+// to join, those that are told to stop ask to leave, and silent ones are evicted.
 func (g *group) changeMembers() {
 	lead := g.leader()
+	g.askToLeave(lead)
 	if lead == nil {
 		return
 	}
-	for _, in := range g.instances {
-		if in.lost && !in.down && in.cut == lead.cut {
-			in.healthy += tick
-			in.lost = in.healthy < catchUp
-		}
+	g.countHealthy(lead)
+	if lead.down {
+		return
 	}
 	if _, next := g.policy.Evict(lead.node); next != nil {
 		g.propose(lead, next)
@@ -193,16 +226,70 @@
 		return
 	}
 	for _, in := range g.instances {
+		if in.down || in.cut != lead.cut || in.stopping != nil {
+			continue
+		}
 		inContact := int64(g.now)-in.node.Synced() < int64(outOfContact)
-		if in.down || in.cut != lead.cut || (inContact && in.node.Members().Voter(in.id)) {
+		if in.confirmed && inContact && in.node.Members().Voter(in.id) {
 			continue
 		}
-		if next, _ := g.policy.Join(lead.node, in.id, in.peer); next != nil {
+		next, done := g.policy.Join(lead.node, in.id, in.peer)
+		in.confirmed = done
+		if next != nil {
 			g.propose(lead, next)
 		}
 	}
 }
 
+// countHealthy counts the time of lost instances beside the leader.
+func (g *group) countHealthy(lead *instance) {
+	steady := lead.id == g.lastLead && g.allReachable()
+	g.lastLead = lead.id
+	for _, in := range g.instances {
+		switch {
+		case !in.lost || in.down || in.cut != lead.cut:
+			continue
+		case in.unnoticed && !steady:
+			in.healthy = 0
+			continue
+		}
+		in.healthy += tick
+		if in.healthy >= catchUp {
+			in.lost, in.spare, in.unnoticed = false, false, false
+		}
+	}
+}
+
+// askToLeave lets the instances that are told to stop ask the leader, which may be nil, and ends
+// those that may end or whose grace is over.
+func (g *group) askToLeave(lead *instance) {
+	for _, in := range g.instances {
+		s := in.stopping
+		if s == nil {
+			continue
+		}
+		left := in.node.MembersIndex() <= in.node.CommitIndex() && !in.node.Members().Voter(in.id)
+		if !left && lead != nil && !lead.down && in.cut == lead.cut {
+			s.asked += tick
+			left = g.leave(lead, in)
+		}
+		if left || g.now >= s.until {
+			g.stop(in)
+			s.ended(left || s.asked >= leaveTime)
+		}
+	}
+}
+
+// leave takes the leader's next step for an instance that is told to stop and reports whether it
+// may end.
+func (g *group) leave(lead, in *instance) (done bool) {
+	next := g.policy.Leave(lead.node, in.id)
+	if next != nil {
+		g.propose(lead, next)
+	}
+	return next == nil
+}
+
 func (g *group) propose(lead *instance, next *quorum.Members) {
 	if err := lead.node.ChangeMembers(next); err != nil {
 		require.ErrorIs(g.t, err, quorum.ErrMembersChange)
@@ -235,26 +322,102 @@
 
 // stop ends an instance, which keeps its disk.
 func (g *group) stop(in *instance) {
-	in.down = true
+	in.down, in.stopping = true, nil
 }
 
-// terminate ends an instance that gives up its vote first if the policy says so.
-func (g *group) terminate(in *instance) {
-	for range 20 {
-		lead := g.leader()
-		if lead == nil || in.down {
-			break
-		}
-		next := g.policy.Leave(lead.node, in.id)
-		if next == nil {
-			break
+// beginStop tells an instance to stop and returns at once. ended may be nil.
+func (g *group) beginStop(in *instance, ended func(settled bool)) {
+	if in.down || in.stopping != nil {
+		return
+	}
+	if ended == nil {
+		ended = func(bool) {}
+	}
+	in.stopping = &stopping{until: g.now + grace, ended: ended}
+}
+
+// beginRestart tells an instance to stop. It starts again restartTime after its end.
+func (g *group) beginRestart(in *instance) {
+	g.beginStop(in, func(bool) { in.startAt = g.now + restartTime })
+}
+
+// beginRemoval tells an instance, whose successor has had its time, to stop for good. If there is no
+// leader to ask, it starts again instead.
+func (g *group) beginRemoval(in *instance) {
+	g.beginStop(in, func(settled bool) {
+		if settled {
+			g.remove(in)
+			return
 		}
-		g.propose(lead, next)
+		in.startAt = g.now + restartTime
+	})
+}
+
+// terminate tells an instance to stop and waits for its end.
+func (g *group) terminate(in *instance) {
+	g.beginStop(in, nil)
+	for in.stopping != nil {
 		g.run(tick)
 	}
 	g.stop(in)
 }
 
+// startSpare starts a further instance.
+func (g *group) startSpare(zone string) *instance {
+	in := g.add(zone)
+	in.lost, in.spare = true, true
+	g.start(in)
+	return in
+}
+
+// addSpares starts n further instances and reports whether they have had their time.
+func (g *group) addSpares(n int) (list []*instance, ready bool) {
+	for i := range n {
+		list = append(list, g.startSpare(g.instances[i].peer.Zone))
+	}
+	return list, g.runUntil(recovery, func() bool {
+		return !slices.ContainsFunc(list, func(in *instance) bool { return in.lost })
+	})
+}
+
+// runUntil advances the time until the condition holds, for d at most, and reports whether it does.
+func (g *group) runUntil(d time.Duration, condition func() bool) bool {
+	for end := g.now + d; g.now < end && !condition(); {
+		g.run(tick)
+	}
+	return condition()
+}
+
+// removeSilently removes an instance for good without telling it. Its successor has had its time
+// before.
+func (g *group) removeSilently(in, successor *instance) {
+	g.remove(in)
+	successor.lost, successor.unnoticed, successor.healthy = true, true, 0
+}
+
+// losePower ends all instances at once, of which some lose their disks, and checks that the others
+// recover.
+func (g *group) losePower(lost ...*instance) {
+	g.inFlight = nil
+	for _, in := range g.instances {
+		g.stop(in)
+		in.startAt = 0
+	}
+	for _, in := range lost {
+		g.wipe(in)
+		in.startAt = g.now + time.Second
+	}
+	for _, in := range g.instances {
+		in.cut = false
+		if in.startAt == 0 {
+			in.startAt = g.now + time.Duration(g.rng.Int64N(int64(time.Second)))
+		}
+	}
+	g.run(time.Second + tick)
+	g.runUntil(recovery, func() bool { return g.leader() != nil })
+	g.checkLeader()
+}
+
 // replace removes an instance for good and adds another with an empty disk at another address:
 // before the removal if it is planned, 1 s after it otherwise.
 func (g *group) replace(in *instance, planned bool) {
@@ -282,7 +445,7 @@
 func (g *group) disksLost() int {
 	n := g.removed
 	for _, in := range g.instances {
-		if in.lost {
+		if in.lost && !in.spare {
 			n++
 		}
 	}
@@ -320,6 +483,10 @@
 		}
 	}
 	g.run(recovery)
+	g.checkLeader()
+}
+
+func (g *group) checkLeader() {
 	lead := g.leader()
 	require.NotNil(g.t, lead, "all instances run, and there is no leader")
 	require.Subset(g.t, lead.applied, g.acked, "acknowledged values are lost")
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -73,6 +73,7 @@
 // at most as many disks lost at a time as the deployment tolerates. Once all instances in use run,
 // there must be a leader with every acknowledged value.
 func TestAcknowledgedValuesSurvive(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(3, 16).Draw(t, "instances")
 		tolerated := rapid.IntRange(1, (n-1)/2).Draw(t, "tolerated")
