voter: answer instances that the own log doesn't name

Cause: a message to a node whose address is neither in the members of this instance's log nor in the last reply to Join was dropped without a line. An instance whose log holds only members that are gone could not answer the votes and appends of the present ones, whose candidate lacked its vote for good.

Change: the first message of each call carries the address of its sender. The receiver records it for up to 32 nodes and uses it where the members name none. Builds that don't know the field ignore it. Messages that are dropped for want of an address are counted in a line every 10 s.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -248,12 +248,12 @@
 		return err
 	}
 	clk := d.clock
-	voters := voter.New(ctx, g, d.creds, d.log, clk)
+	voters := voter.New(ctx, g, d.creds, d.cfg.Address, d.log, clk)
 	timing := quorum.DefaultTiming
 	timing.NoLease = d.cfg.NoLeases
 	c, err := core.New(core.Config{
 		ID: d.identity.Node, Name: d.cfg.Name, Timing: timing, Lease: d.cfg.Lease,
-		Seed: rand.Uint64(), Clock: clk, Log: d.log, Journal: j, Stored: stored, Send: voters.Send, Reconnect: voters.Reconnect,
+		Seed: rand.Uint64(), Clock: clk, Log: d.log, Journal: j, Stored: stored, Send: voters.Send, Learn: voters.Learn, Reconnect: voters.Reconnect,
 		Membership: membership.Policy{Tolerated: d.cfg.ToleratedLosses, EvictAfter: d.cfg.EvictAfter},
 		Reopen:     func() (*journal.Journal, quorum.Stored, error) { return journal.Open(d.dir) },
 	})
--- a/control/controltest/cluster.go
+++ b/control/controltest/cluster.go
@@ -46,6 +46,13 @@
 // Start starts a cluster of n instances with in-memory disks that have announced the features.
 // It stops them at the end of the test.
 func Start(t *testing.T, n int, features quorum.Features) []*Instance {
+	t.Helper()
+	return StartWithMembers(t, n, features, func(_ quorum.NodeID, members quorum.Members) quorum.Members { return members })
+}
+
+// StartWithMembers starts a cluster as Start does. Each instance starts with the members that
+// initial returns for it, given those of the cluster.
+func StartWithMembers(t *testing.T, n int, features quorum.Features, initial func(quorum.NodeID, quorum.Members) quorum.Members) []*Instance {
 	t.Helper()
 	clk := clock.New()
 	members := quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{}}
@@ -63,13 +70,14 @@
 		in := &Instance{cancel: cancel}
 		j, stored, err := journal.Open(fake.NewDisk())
 		require.NoError(t, err)
-		stored.Snapshot.Members = members
+		stored.Snapshot.Members = initial(quorum.NodeID(i+1), members)
 		require.NoError(t, j.SaveSnapshot(&stored.Snapshot, nil))
+		voters := voter.New(ctx, &in.group, nil, l.Addr().String(), logs.Discard(), clk)
 		timing := quorum.DefaultTiming
 		timing.NoLease = true
 		in.Core, err = core.New(core.Config{
 			ID: quorum.NodeID(i + 1), Name: l.Addr().String(), Timing: timing, Lease: time.Second, Seed: uint64(i),
-			Clock: clk, Log: logs.Discard(), Journal: j, Stored: stored, Send: voter.New(ctx, &in.group, nil, logs.Discard(), clk).Send,
+			Clock: clk, Log: logs.Discard(), Journal: j, Stored: stored, Send: voters.Send, Learn: voters.Learn,
 		})
 		require.NoError(t, err)
 		in.Dir = gossip.New(gossip.Config{Clock: clk, Log: logs.Discard(), SilentAfter: time.Minute})
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -87,6 +87,9 @@
 	Membership membership.Policy
 	// Send sends messages to other control instances. It must not block.
 	Send func([]quorum.Message, *quorum.Members)
+	// Learn records the address that a node sent with its messages, nil to ignore it. It must
+	// not block.
+	Learn func(quorum.NodeID, string)
 	// Reconnect, unless nil, drops the pending calls to a control instance that has just
 	// started. It must not block.
 	Reconnect func(quorum.NodeID)
@@ -257,6 +260,9 @@
 	select {
 	case c.inbox <- func() {
 		for _, m := range list {
+			if m.Addr != "" && c.cfg.Learn != nil {
+				c.cfg.Learn(m.From, m.Addr)
+			}
 			if m.Kind == quorum.Probe && c.cfg.Reconnect != nil {
 				c.cfg.Reconnect(m.From)
 			}
--- a/control/voter/voter.go
+++ b/control/voter/voter.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,10 @@
 	logInterval = 10 * time.Second
 	// maxBatchLength is the maximum number of messages in a call.
 	maxBatchLength = 64
+	// maxLearned is the maximum number of nodes whose addresses are known from their own
+	// messages only: four times the largest planned number of control instances, since nodes
+	// that joined with an empty disk have new identifiers.
+	maxLearned = 32
 )
 
 // Transport sends messages to the other control instances. Each has its own
@@ -36,17 +41,29 @@
 	ctx   context.Context
 	group *errgroup.Group
 	creds *rpc.Credentials
+	// addr is the address at which others reach this instance.
+	addr  string
 	log   *logs.Logger
 	clock catkinrail.Clock
+	// unknown limits the lines about messages to nodes without a known address.
+	unknown *logs.Limiter
 
 	mu      sync.Mutex
 	senders map[quorum.NodeID]*sender
+	// learned holds the addresses that nodes sent in their messages, the last heard node last.
+	learned []learnedAddr
 	// contacts are the members that a reply to Join named last.
 	contacts *quorum.Members
 	// leaderAddr is the address of the leader named in that reply, if any.
 	leaderAddr string
 }
 
+// learnedAddr is the address that a node sent in a message.
+type learnedAddr struct {
+	node quorum.NodeID
+	addr string
+}
+
 // sender sends the queued messages for one control instance.
 type sender struct {
 	addr    string
@@ -58,9 +75,13 @@
 	cancelCall context.CancelFunc
 }
 
-// New returns a transport whose senders run in the group until ctx ends.
-func New(ctx context.Context, g *errgroup.Group, creds *rpc.Credentials, log *logs.Logger, clock catkinrail.Clock) *Transport {
-	return &Transport{ctx: ctx, group: g, creds: creds, log: log, clock: clock, senders: map[quorum.NodeID]*sender{}}
+// New returns a transport whose senders run in the group until ctx ends. Others reach the
+// instance at addr.
+func New(ctx context.Context, g *errgroup.Group, creds *rpc.Credentials, addr string, log *logs.Logger, clock catkinrail.Clock) *Transport {
+	return &Transport{
+		ctx: ctx, group: g, creds: creds, addr: addr, log: log, clock: clock,
+		unknown: logs.NewLimiter(clock, logInterval), senders: map[quorum.NodeID]*sender{},
+	}
 }
 
 // Send queues the messages. A message to a node without a known address or with a
@@ -69,6 +90,7 @@
 	for _, m := range list {
 		s := t.sender(m.To, members)
 		if s == nil {
+			t.logUnknown(m.To)
 			continue
 		}
 		select {
@@ -78,17 +100,55 @@
 	}
 }
 
+func (t *Transport) logUnknown(id quorum.NodeID) {
+	if skipped, ok := t.unknown.Allow(); ok {
+		t.log.Warn(nil).Uint64("node", uint64(id)).Uint64("skipped", skipped).
+			Msg("message dropped: the address of the control instance is unknown")
+	}
+}
+
+// Learn records the address that a node sent in a message. This instance's log may lack the
+// node, whose messages it must answer all the same.
+func (t *Transport) Learn(id quorum.NodeID, addr string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.learned = slices.DeleteFunc(t.learned, func(l learnedAddr) bool { return l.node == id })
+	t.learned = append(t.learned, learnedAddr{id, addr})
+	if len(t.learned) <= maxLearned {
+		return
+	}
+	oldest := t.learned[0].node
+	t.learned = slices.Delete(t.learned, 0, 1)
+	if s := t.senders[oldest]; s != nil {
+		s.cancel()
+		delete(t.senders, oldest)
+	}
+}
+
+// addrOf returns the address of a node: the one in the members, else the one that the node
+// sent, else the one in the last reply to Join. The caller holds t.mu.
+func (t *Transport) addrOf(id quorum.NodeID, members *quorum.Members) (string, bool) {
+	if p, ok := members.Nodes[id]; ok {
+		return p.Addr, true
+	}
+	if i := slices.IndexFunc(t.learned, func(l learnedAddr) bool { return l.node == id }); i >= 0 {
+		return t.learned[i].addr, true
+	}
+	if t.contacts == nil {
+		return "", false
+	}
+	p, ok := t.contacts.Nodes[id]
+	return p.Addr, ok
+}
+
 // sender returns the sender for a node, and replaces it if the node's address has
 // changed. It returns nil if there is no sender and the address is unknown.
 func (t *Transport) sender(id quorum.NodeID, members *quorum.Members) *sender {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	peer, ok := members.Nodes[id]
-	if !ok && t.contacts != nil {
-		peer, ok = t.contacts.Nodes[id]
-	}
+	addr, ok := t.addrOf(id, members)
 	s := t.senders[id]
-	if s != nil && (!ok || s.addr == peer.Addr) {
+	if s != nil && (!ok || s.addr == addr) {
 		return s
 	}
 	if !ok {
@@ -99,7 +159,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
 	s = &sender{
-		addr: peer.Addr, client: rpc.NewClient(peer.Addr, t.creds), cancel: cancel,
+		addr: addr, client: rpc.NewClient(addr, t.creds), cancel: cancel,
 		queue: make(chan quorum.Message, queueLength), limiter: logs.NewLimiter(t.clock, logInterval),
 	}
 	t.senders[id] = s
@@ -137,13 +197,14 @@
 	}
 }
 
-// sendTo sends a batch in a call that Reconnect ends.
+// sendTo sends a batch in a call that Reconnect ends. The first message tells where to answer.
 func (t *Transport) sendTo(ctx context.Context, s *sender, batch []quorum.Message) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t.mu.Lock()
 	s.cancelCall = cancel
 	t.mu.Unlock()
+	batch[0].Addr = t.addr
 	return sendBatch(ctx, s.client, batch)
 }
 
--- a/control/voter/voter_test.go
+++ b/control/voter/voter_test.go
@@ -60,7 +60,7 @@
 	var g errgroup.Group
 	g.Go(func() error { return rpc.Serve(ctx, listener, mux) })
 
-	transport := New(ctx, &g, nil, logs.Discard(), clock.New())
+	transport := New(ctx, &g, nil, "", logs.Discard(), clock.New())
 	none := &quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{}}
 	answer := []quorum.Message{{Kind: quorum.AppendAnswer, From: 9, To: 7, Reject: true}}
 	transport.Send(answer, none)
@@ -75,3 +75,31 @@
 	cancel()
 	require.NoError(t, g.Wait())
 }
+
+// TestAddressOfUnknownNode guards against addresses that others send taking the place of those in
+// the members, and against recording them without limit.
+func TestAddressOfUnknownNode(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	transport := New(ctx, &g, nil, "", logs.Discard(), clock.New())
+	members := &quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{1: {Addr: "127.0.0.1:1"}}}
+	transport.setContacts(&message.JoinReply{Members: quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{
+		1: {Addr: "127.0.0.1:3"}, 2: {Addr: "127.0.0.1:3"}, 3: {Addr: "127.0.0.1:3"},
+	}}})
+	transport.Learn(1, "127.0.0.1:2")
+	transport.Learn(2, "127.0.0.1:9")
+	transport.Learn(2, "127.0.0.1:2")
+	for i, want := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+		require.Equal(t, want, transport.sender(quorum.NodeID(i+1), members).addr)
+	}
+	for i := range maxLearned {
+		transport.Learn(quorum.NodeID(100+i), "127.0.0.1:4")
+		require.NotNil(t, transport.sender(quorum.NodeID(100+i), members))
+	}
+	transport.Learn(100, "127.0.0.1:4")
+	transport.Learn(200, "127.0.0.1:4")
+	require.NotNil(t, transport.sender(100, members), "heard after 101")
+	require.Nil(t, transport.sender(101, members))
+	cancel()
+	require.NoError(t, g.Wait())
+}
--- a/coordination/quorum/message.go
+++ b/coordination/quorum/message.go
@@ -190,6 +190,9 @@
 	Sent int64 `cbor:"10,keyasint,omitempty"`
 	// Snapshot is set for Install.
 	Snapshot *Snapshot `cbor:"11,keyasint,omitempty"`
+	// Addr is the address of the sender, in the first message of a call. Builds that don't
+	// know this field ignore it, and answer members only.
+	Addr string `cbor:"12,keyasint,omitempty"`
 }
 
 // Snapshot replaces all entries up to and including Index.
