control: ask several known instances at once where to join

Cause: a request to join went to one address at a time, each up to 1 s, and every even attempt went to the leader that was named last, also when that leader was gone. With an even number of known addresses every other one was never asked.

A reply that names such a leader doesn't end the wait for the other replies.

Join of voter.Transport returns the reply instead of a flag, and the test of it checks the same field.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -78,6 +78,8 @@
 	started func()
 	// seedAddrs are the current seeds, which change when the settings are reloaded.
 	seedAddrs atomic.Pointer[[]string]
+	// contacts belong to the goroutine of keepJoined.
+	contacts contacts
 }
 
 // self returns this instance's name, zone and addresses as other instances know them.
@@ -403,8 +405,8 @@
 const toLeader = 0
 
 // requestJoin sends a request to join or leave. Even attempts go to the leader if one is
-// known, the others to the known instances in turn. A leader sends it to itself, so that its
-// own name and addresses get updated.
+// known and answers, the others to the known instances in turn. A leader sends it to itself,
+// so that its own name and addresses get updated.
 func (d *daemon) requestJoin(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest, attempt int) joinOutcome {
 	state := c.Published()
 	if state.Leader == state.Node {
@@ -417,28 +419,59 @@
 	}
 	known := slices.Clone(d.seeds())
 	for _, id := range cluster.SortedKeys(state.Members.Nodes) {
-		if addr := state.Members.Nodes[id].Addr; !slices.Contains(known, addr) {
-			known = append(known, addr)
-		}
-	}
-	addr := known[attempt%len(known)]
-	if leader, ok := state.Members.Nodes[state.Leader]; ok && attempt%2 == 0 {
-		addr = leader.Addr
-	} else if named := v.LeaderAddr(); named != "" && attempt%2 == 0 {
-		addr = named
-	}
-	if addr == d.cfg.Address {
-		return joinFailed
+		known = append(known, state.Members.Nodes[id].Addr)
+	}
+	var leaders []string
+	named := v.LeaderAddr()
+	if attempt%2 == 0 {
+		leaders = append(leaders, state.Members.Nodes[state.Leader].Addr, named)
+	} else {
+		known = append(known, named)
+	}
+	unusable := func(addr string) bool { return addr == "" || addr == d.cfg.Address }
+	leaders, known = slices.DeleteFunc(leaders, unusable), slices.DeleteFunc(known, unusable)
+	return d.ask(ctx, v, req, d.contacts.next(leaders, known))
+}
+
+// ask sends the request to all addresses, and returns the first outcome that is not joinFailed.
+func (d *daemon) ask(ctx context.Context, v *voter.Transport, req *message.JoinRequest, addrs []string) joinOutcome {
+	type result struct {
+		addr  string
+		reply *message.JoinReply
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	defer func() { _ = g.Wait() }()
+	defer cancel()
+	results := make(chan result, len(addrs))
+	for _, addr := range addrs {
+		g.Go(func() error {
+			reply, err := v.Join(ctx, addr, req)
+			results <- result{addr, reply, err}
+			return nil
+		})
 	}
-	done, err := v.Join(ctx, addr, req)
-	switch {
-	case err != nil:
-		d.log.Debug().Err(err).Str("peer", addr).Msg("join request failed")
-		return joinFailed
-	case !done && v.LeaderAddr() == "":
-		return joinFailed
+	for range addrs {
+		r := <-results
+		if ctx.Err() != nil && r.err != nil {
+			return joinFailed
+		}
+		d.contacts.record(r.addr, r.err)
+		if r.err != nil {
+			d.log.Debug().Err(r.err).Str("peer", r.addr).Msg("join request failed")
+			continue
+		}
+		leader := r.reply.Members.Nodes[r.reply.Leader].Addr
+		if !r.reply.RetryLater {
+			return joinDone
+		}
+		// An instance that is out of contact itself names a leader that is gone.
+		if leader != "" && !d.contacts.failed(leader) {
+			return joinPending
+		}
 	}
-	return outcomeOf(!done)
+	return joinFailed
 }
 
 func outcomeOf(retryLater bool) joinOutcome {
--- a/control/voter/voter.go
+++ b/control/voter/voter.go
@@ -249,14 +249,13 @@
 }
 
 // Join asks the control instance at addr to add a new member, and records the
-// members and the leader that the reply names. It reports whether the new member
-// has joined; if not, the request must be sent again.
-func (t *Transport) Join(ctx context.Context, addr string, req *message.JoinRequest) (done bool, err error) {
+// members and the leader that the reply names.
+func (t *Transport) Join(ctx context.Context, addr string, req *message.JoinRequest) (*message.JoinReply, error) {
 	body, err := cluster.Encode(req)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	var reply message.JoinReply
+	reply := &message.JoinReply{}
 	c := rpc.NewClient(addr, t.creds)
 	defer c.Close()
 	err = c.Call(ctx, "join", callTimeout, func(ctx context.Context, conn drpc.Conn) error {
@@ -264,13 +263,13 @@
 		if err != nil {
 			return err
 		}
-		return cluster.Decode(f.GetBody(), &reply)
+		return cluster.Decode(f.GetBody(), reply)
 	})
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	t.setContacts(&reply)
-	return !reply.RetryLater, nil
+	t.setContacts(reply)
+	return reply, nil
 }
 
 // setContacts records the addresses of members that this instance's own log may
--- a/control/voter/voter_test.go
+++ b/control/voter/voter_test.go
@@ -66,9 +66,9 @@
 	transport.Send(answer, none)
 	require.Empty(t, transport.senders, "the leader's address is unknown before Join")
 
-	done, err := transport.Join(ctx, addr, &message.JoinRequest{Node: 9, Peer: quorum.Peer{Name: "new"}})
+	reply, err := transport.Join(ctx, addr, &message.JoinRequest{Node: 9, Peer: quorum.Peer{Name: "new"}})
 	require.NoError(t, err)
-	require.False(t, done)
+	require.True(t, reply.RetryLater)
 	require.Equal(t, addr, transport.LeaderAddr())
 	transport.Send(answer, none)
 	require.Equal(t, answer[0], <-l.steps)
