control: ask the members that a reply to Join named

Cause: requests to join went to the seeds and to the members in the own log only. An instance with an empty log whose seeds went after one of them had named the present members asked none of these.

Change: the addresses in the last reply to Join, and those that instances sent with their messages, are asked too.

Measured: in TestJoinAsksNamedMembers the only seed names a member and goes.

--- a/control/cmd/catkinrail-control/contacts_test.go
+++ b/control/cmd/catkinrail-control/contacts_test.go
@@ -157,3 +157,23 @@
 		require.NoError(t, g.Wait())
 	}
 }
+
+// TestJoinAsksNamedMembers guards against an instance that never joins since its seeds have gone
+// after one of them named the present members.
+func TestJoinAsksNamedMembers(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	living := listen(ctx, t, &g, &fakePeer{})
+	seedCtx, stopSeed := context.WithCancel(ctx)
+	seed := listen(seedCtx, t, &g, &fakePeer{reply: message.JoinReply{
+		RetryLater: true, Members: quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{7: {Addr: living}}},
+	}})
+	d, c := newJoining(t, seed)
+	v := voter.New(ctx, &g, nil, d.cfg.Address, d.log, d.clock)
+	req := &message.JoinRequest{Node: 9}
+	require.Equal(t, joinFailed, d.requestJoin(ctx, c, v, req, 0))
+	stopSeed()
+	require.Equal(t, joinDone, d.requestJoin(ctx, c, v, req, 1))
+	cancel()
+	require.NoError(t, g.Wait())
+}
--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -421,6 +421,7 @@
 	for _, id := range cluster.SortedKeys(state.Members.Nodes) {
 		known = append(known, state.Members.Nodes[id].Addr)
 	}
+	known = append(known, v.Addrs()...)
 	var leaders []string
 	named := v.LeaderAddr()
 	if attempt%2 == 0 {
--- a/control/voter/voter.go
+++ b/control/voter/voter.go
@@ -291,3 +291,20 @@
 	defer t.mu.Unlock()
 	return t.leaderAddr
 }
+
+// Addrs returns the addresses of control instances that this instance's log may not name: of
+// those that sent messages, the last heard first, and of the members in the last reply to Join.
+func (t *Transport) Addrs() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	for _, l := range slices.Backward(t.learned) {
+		list = append(list, l.addr)
+	}
+	if t.contacts != nil {
+		for _, id := range cluster.SortedKeys(t.contacts.Nodes) {
+			list = append(list, t.contacts.Nodes[id].Addr)
+		}
+	}
+	return list
+}
