control: log when an instance joins and why it can't

Cause: an instance whose seeds were gone logged nothing about it at the level info, and nothing told which addresses it asked.

Change: after 5 s without success, and then at most every 10 s, a line names the seeds, whether they have changed since, and the last answer of each address that was asked. A line says when the instance has become a learner and a voter, and after how long.

TestChangedSeedsAreUsed checks the same reload, and that gossip reaches the new seed; it guards what already held.

--- a/control/cmd/catkinrail-control/contacts.go
+++ b/control/cmd/catkinrail-control/contacts.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -24,6 +26,8 @@
 	// answered and failed are set if the last request that was waited for was answered or
 	// wasn't.
 	answered, failed bool
+	// answer says how the last request ended, empty before that.
+	answer string
 }
 
 // next returns the addresses to ask now: the first of leaders that hasn't failed, or else up to
@@ -63,13 +67,36 @@
 	return asked
 }
 
-// record notes the outcome of a request to addr.
-func (c *contacts) record(addr string, err error) {
+// record notes that addr answered a request and named a leader, or an empty string for none, or
+// the error of the request.
+func (c *contacts) record(addr, leader string, err error) {
 	p := c.byAddr[addr]
 	p.answered, p.failed = err == nil, err != nil
+	switch {
+	case err != nil:
+		p.answer = rootCause(err).Error()
+	case leader == "":
+		p.answer = "knows no leader"
+	default:
+		p.answer = "names leader " + leader
+	}
 	c.byAddr[addr] = p
 }
 
+// answers returns a text on each address, sorted.
+func (c *contacts) answers() []string {
+	var list []string
+	for _, addr := range slices.Sorted(maps.Keys(c.byAddr)) {
+		p := c.byAddr[addr]
+		missing := "not asked yet"
+		if p.round > 0 {
+			missing = "not answered yet"
+		}
+		list = append(list, fmt.Sprintf("%s: %s", addr, cmp.Or(p.answer, missing)))
+	}
+	return list
+}
+
 // failed reports whether the last request to addr wasn't answered.
 func (c *contacts) failed(addr string) bool {
 	return c.byAddr[addr].failed
--- a/control/cmd/catkinrail-control/contacts_test.go
+++ b/control/cmd/catkinrail-control/contacts_test.go
@@ -79,10 +79,10 @@
 				asked := c.next(r.leaders, r.known)
 				require.Equal(t, r.want, asked, "request %d", i)
 				for _, addr := range asked {
-					c.record(addr, errors.New("no answer"))
+					c.record(addr, "", errors.New("no answer"))
 				}
 				for _, addr := range r.answering {
-					c.record(addr, nil)
+					c.record(addr, addr, nil)
 				}
 			}
 		})
@@ -93,6 +93,8 @@
 type fakePeer struct {
 	control.DRPCControlUnimplementedServer
 	reply message.JoinReply
+	// gossip receives a value when a call of Gossip has arrived.
+	gossip chan struct{}
 }
 
 // Join implements control.DRPCControlServer.
@@ -101,6 +103,15 @@
 	return &control.Frame{Body: body}, err
 }
 
+// Gossip implements control.DRPCControlServer.
+func (p *fakePeer) Gossip(context.Context, *control.Frame) (*control.Frame, error) {
+	select {
+	case p.gossip <- struct{}{}:
+	default:
+	}
+	return nil, errors.New("not a directory")
+}
+
 // listen returns the address of a listener. Without a peer it accepts connections and answers
 // nothing, like a frozen machine.
 func listen(ctx context.Context, t *testing.T, g *errgroup.Group, p *fakePeer) string {
--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -100,6 +100,16 @@
 	d.seedAddrs.Store(&list)
 }
 
+// reload applies the contents b of the platform's settings file, of which only the seeds can
+// change while the instance runs.
+func (d *daemon) reload(file string, b []byte) error {
+	cfg, err := platformSettings(file, b)
+	if err == nil {
+		d.setSeeds(cfg)
+	}
+	return err
+}
+
 // run opens the instance's data folder and starts its parts in the group.
 func (d *daemon) run(ctx context.Context, g *errgroup.Group) error {
 	d.clock = clock.New()
@@ -339,6 +349,7 @@
 	defer context.AfterFunc(d.stopping, cancel)()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	l := &joinLog{log: d.log}
 	var refusedTerm uint64
 	var refusedAt time.Time
 	for i := 0; ; i++ {
@@ -353,9 +364,14 @@
 		}
 		interval := joinInterval
 		term, now := c.Published().Term, d.clock.Now()
+		joined, outcome := c.Joined(req.Peer), joinDone
+		if !joined {
+			outcome = d.requestJoin(joining, c, v, req, i)
+		}
+		l.update(now, roleOf(c.Published(), outcome), d.seeds(), &d.contacts)
 		switch {
-		case !c.Joined(req.Peer):
-			if d.requestJoin(joining, c, v, req, i) == joinPending {
+		case !joined:
+			if outcome == joinPending {
 				interval = joinStepInterval
 			}
 		case c.Announced(req.Peer):
@@ -367,6 +383,20 @@
 	}
 }
 
+// roleOf returns "voter" or "learner" if the instance has joined, and an empty string if the
+// outcome of its request to join leaves open whether it has.
+func roleOf(state *core.PublishedState, outcome joinOutcome) string {
+	switch {
+	case outcome == joinFailed:
+		return ""
+	case state.Members.Learners[state.Node]:
+		return "learner"
+	case outcome == joinDone && state.Members.Voter(state.Node):
+		return "voter"
+	}
+	return ""
+}
+
 // leave asks the leader, for leaveTimeout, to remove this instance from the voters if the quorum
 // is better off without it while it is stopped.
 func (d *daemon) leave(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest) {
@@ -458,12 +488,13 @@
 		if ctx.Err() != nil && r.err != nil {
 			return joinFailed
 		}
-		d.contacts.record(r.addr, r.err)
 		if r.err != nil {
+			d.contacts.record(r.addr, "", r.err)
 			d.log.Debug().Err(r.err).Str("peer", r.addr).Msg("join request failed")
 			continue
 		}
 		leader := r.reply.Members.Nodes[r.reply.Leader].Addr
+		d.contacts.record(r.addr, leader, nil)
 		if !r.reply.RetryLater {
 			return joinDone
 		}
--- a/control/cmd/catkinrail-control/main.go
+++ b/control/cmd/catkinrail-control/main.go
@@ -77,13 +77,7 @@
 	g.Go(func() error { return d.run(ctx, g) })
 	if file != nil {
 		g.Go(func() error {
-			settings.Watch(ctx, file.Name, file.Content, hup, log, func(b []byte) error {
-				given, err := platformSettings(file.Name, b)
-				if err == nil {
-					d.setSeeds(given)
-				}
-				return err
-			})
+			settings.Watch(ctx, file.Name, file.Content, hup, log, func(b []byte) error { return d.reload(file.Name, b) })
 			return nil
 		})
 	}
