platform: read whether a machine may be lost beside the tolerated ones

Cause: in_fault_budget of the platform's settings was read nowhere, so a control instance that may be lost at any time had a vote like the others.

Change: the value becomes Expendable of the node, the setting expendable of a control instance, and Expendable of the peer that it announces. A value that is absent or not a boolean counts as true. The policy doesn't use it yet. A leader of an older build doesn't record it.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -86,6 +86,7 @@
 func (d *daemon) self() quorum.Peer {
 	return quorum.Peer{
 		Name: d.cfg.Name, Addr: d.cfg.Address, Zone: string(d.cfg.Zone), Public: d.cfg.Public, Features: quorum.AllFeatures,
+		Expendable: d.cfg.Expendable,
 	}
 }
 
--- a/control/cmd/catkinrail-control/main_test.go
+++ b/control/cmd/catkinrail-control/main_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"catkinrail.example/catkinrail/logs"
+	"catkinrail.example/catkinrail/platform/standin"
 )
 
 // Collection is turned on again once the heap has grown beyond the limit, even if nobody
@@ -29,6 +31,17 @@
 	require.Equal(t, 100, debug.SetGCPercent(100))
 }
 
+// TestExpendableIsAnnounced guards against a control instance whose vote counts although the
+// platform doesn't count its machine among the tolerated losses.
+func TestExpendableIsAnnounced(t *testing.T) {
+	node := standin.Node{Name: "n", Zone: "z", IP: netip.MustParseAddr("127.0.0.2"), Seeds: []netip.Addr{netip.MustParseAddr("127.0.0.3")}, Data: "/nowhere"}
+	for budget, want := range map[string]bool{"": false, "in_fault_budget: true\n": false, "in_fault_budget: false\n": true} {
+		cfg, err := platformSettings("node.yaml", []byte(node.Settings()+budget))
+		require.NoError(t, err)
+		require.Equal(t, want, (&daemon{cfg: cfg}).self().Expendable, budget)
+	}
+}
+
 // TestStartOnFullDisk guards against processes that end, and are started again and again, while
 // their disk is full.
 func TestStartOnFullDisk(t *testing.T) {
--- a/control/cmd/catkinrail-control/platform.go
+++ b/control/cmd/catkinrail-control/platform.go
@@ -34,7 +34,7 @@
 	}
 	cfg := &Settings{
 		Name: n.Name, Zone: n.Zone, Zones: n.Zones, Address: n.Internal.String(), Listen: n.InternalListen.String(), Data: n.Data, Lease: defaultLease,
-		Public: n.Control.String(), EvictAfter: evictAfter, ToleratedLosses: n.ToleratedLosses,
+		Public: n.Control.String(), EvictAfter: evictAfter, ToleratedLosses: n.ToleratedLosses, Expendable: n.Expendable,
 		SilentAfter: missedReports*n.ReportInterval + reportTimeout, ReuseAfter: n.AddrReuse,
 		WarmupOverage: n.WarmupOverage, WarmupSlack: n.WarmupSlack, Metrics: n.Metrics.String(), TLS: rpc.TLSSettings{TrustedNetwork: true},
 		Log: logs.Settings{Level: "info"}, NoLeases: true, firstStart: n.FirstStart,
--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -55,6 +55,8 @@
 	// same time. At least twice as many and one more keep their votes, however long some
 	// are out of contact.
 	ToleratedLosses int `yaml:"tolerated-losses"`
+	// Expendable is set if this instance may be lost at any time beside the tolerated losses.
+	Expendable bool `yaml:"expendable"`
 	// SilentAfter is the time without a report after which a backend server gets
 	// no new flows.
 	SilentAfter time.Duration `yaml:"silent-after"`
--- a/coordination/quorum/message.go
+++ b/coordination/quorum/message.go
@@ -65,6 +65,9 @@
 	Public string `cbor:"4,keyasint,omitempty"`
 	// Features are those that the instance announced; none for builds that announce none.
 	Features Features `cbor:"5,keyasint,omitempty"`
+	// Expendable is set if the instance may be lost at any time beside the tolerated losses,
+	// so that nothing may depend on its vote.
+	Expendable bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Features is a set of abilities that builds of control instances differ in.
