control: test that an instance without seeds finds the senders of messages

An instance that lost its disk gets messages for its earlier self, since the members hold its address.

Measured: TestJoinAsksSenders fails if Addrs leaves these senders out.

--- a/control/cmd/catkinrail-control/contacts_test.go
+++ b/control/cmd/catkinrail-control/contacts_test.go
@@ -127,14 +127,18 @@
 	return l.Addr().String()
 }
 
-// newJoining returns a daemon with the given seeds and a core that has stored nothing.
-func newJoining(t *testing.T, seeds ...string) (*daemon, *core.Core) {
+// newJoining returns a daemon with the given seeds and a core that has stored nothing and passes
+// addresses to learn.
+func newJoining(t *testing.T, learn func(quorum.NodeID, string), seeds ...string) (*daemon, *core.Core) {
 	t.Helper()
 	d := &daemon{cfg: &Settings{Address: "127.0.0.1:1"}, log: logs.Discard(), clock: clock.New()}
 	d.seedAddrs.Store(&seeds)
 	j, stored, err := journal.Open(fake.NewDisk())
 	require.NoError(t, err)
-	c, err := core.New(core.Config{ID: 9, Timing: quorum.DefaultTiming, Lease: time.Second, Clock: d.clock, Log: d.log, Journal: j, Stored: stored})
+	c, err := core.New(core.Config{
+		ID: 9, Timing: quorum.DefaultTiming, Lease: time.Second, Clock: d.clock, Log: d.log, Journal: j, Stored: stored, Learn: learn,
+		Send: func([]quorum.Message, *quorum.Members) {},
+	})
 	require.NoError(t, err)
 	return d, c
 }
@@ -155,7 +159,7 @@
 			RetryLater: true, Leader: 7, Members: quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{7: {Addr: gone}}},
 		}})
 		seeds[living] = listen(ctx, t, &g, &fakePeer{})
-		d, c := newJoining(t, seeds...)
+		d, c := newJoining(t, nil, seeds...)
 		v := voter.New(ctx, &g, nil, d.cfg.Address, d.log, d.clock)
 		req := &message.JoinRequest{Node: 9}
 		outcome, attempts := joinFailed, 0
@@ -179,7 +183,7 @@
 	seed := listen(seedCtx, t, &g, &fakePeer{reply: message.JoinReply{
 		RetryLater: true, Members: quorum.Members{Nodes: map[quorum.NodeID]quorum.Peer{7: {Addr: living}}},
 	}})
-	d, c := newJoining(t, seed)
+	d, c := newJoining(t, nil, seed)
 	v := voter.New(ctx, &g, nil, d.cfg.Address, d.log, d.clock)
 	req := &message.JoinRequest{Node: 9}
 	require.Equal(t, joinFailed, d.requestJoin(ctx, c, v, req, 0))
@@ -188,3 +192,20 @@
 	cancel()
 	require.NoError(t, g.Wait())
 }
+
+// TestJoinAsksSenders guards against an instance that lost its disk and never joins since its
+// seeds are gone, although the members still send messages to its earlier self at its address.
+func TestJoinAsksSenders(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var g errgroup.Group
+	living := listen(ctx, t, &g, &fakePeer{})
+	v := voter.New(ctx, &g, nil, "", logs.Discard(), clock.New())
+	d, c := newJoining(t, v.Learn)
+	c.Start(ctx, &g)
+	req := &message.JoinRequest{Node: 9}
+	require.Equal(t, joinFailed, d.requestJoin(ctx, c, v, req, 1))
+	require.NoError(t, c.Step(ctx, []quorum.Message{{Kind: quorum.Append, From: 7, To: 8, Term: 1, Addr: living}}))
+	require.Eventually(t, func() bool { return d.requestJoin(ctx, c, v, req, 1) == joinDone }, 5*time.Second, 10*time.Millisecond)
+	cancel()
+	require.NoError(t, g.Wait())
+}
--- a/control/cmd/catkinrail-control/joinlog_test.go
+++ b/control/cmd/catkinrail-control/joinlog_test.go
@@ -94,7 +94,7 @@
 		return text
 	}
 	content := write("127.0.0.2")
-	d, c := newJoining(t)
+	d, c := newJoining(t, nil)
 	require.NoError(t, d.reload(file, content))
 	g.Go(func() error {
 		settings.Watch(ctx, file, content, make(chan os.Signal), d.log, func(b []byte) error { return d.reload(file, b) })
