--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -78,12 +78,15 @@
 	started func()
 	// seedAddrs are the current seeds, which change when the settings are reloaded.
 	seedAddrs atomic.Pointer[[]string]
+	// contacts belong to the goroutine of keepJoined.
+	contacts contacts
 }
 
 // self returns this instance's name, zone and addresses as other instances know them.
 func (d *daemon) self() quorum.Peer {
 	return quorum.Peer{
 		Name: d.cfg.Name, Addr: d.cfg.Address, Zone: string(d.cfg.Zone), Public: d.cfg.Public, Features: quorum.AllFeatures,
+		Expendable: d.cfg.Expendable,
 	}
 }
 
@@ -98,6 +101,16 @@
 	d.seedAddrs.Store(&list)
 }
 
+// reload applies the contents b of the platform's settings file, of which only the seeds can
+// change while the instance runs.
+func (d *daemon) reload(file string, b []byte) error {
+	cfg, err := platformSettings(file, b)
+	if err == nil {
+		d.setSeeds(cfg)
+	}
+	return err
+}
+
 // run opens the instance's data folder and starts its parts in the group.
 func (d *daemon) run(ctx context.Context, g *errgroup.Group) error {
 	d.clock = clock.New()
@@ -248,12 +261,12 @@
 		return err
 	}
 	clk := d.clock
-	voters := voter.New(ctx, g, d.creds, d.log, clk)
+	voters := voter.New(ctx, g, d.creds, d.cfg.Address, d.log, clk)
 	timing := quorum.DefaultTiming
 	timing.NoLease = d.cfg.NoLeases
 	c, err := core.New(core.Config{
 		ID: d.identity.Node, Name: d.cfg.Name, Timing: timing, Lease: d.cfg.Lease,
-		Seed: rand.Uint64(), Clock: clk, Log: d.log, Journal: j, Stored: stored, Send: voters.Send, Reconnect: voters.Reconnect,
+		Seed: rand.Uint64(), Clock: clk, Log: d.log, Journal: j, Stored: stored, Send: voters.Send, Learn: voters.Learn, Reconnect: voters.Reconnect,
 		Membership: membership.Policy{Tolerated: d.cfg.ToleratedLosses, EvictAfter: d.cfg.EvictAfter},
 		Reopen:     func() (*journal.Journal, quorum.Stored, error) { return journal.Open(d.dir) },
 	})
@@ -337,6 +350,7 @@
 	defer context.AfterFunc(d.stopping, cancel)()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	l := &joinLog{log: d.log}
 	var refusedTerm uint64
 	var refusedAt time.Time
 	for i := 0; ; i++ {
@@ -351,9 +365,14 @@
 		}
 		interval := joinInterval
 		term, now := c.Published().Term, d.clock.Now()
+		joined, outcome := c.Joined(req.Peer), joinDone
+		if !joined {
+			outcome = d.requestJoin(joining, c, v, req, i)
+		}
+		l.update(now, roleOf(c.Published(), outcome), d.seeds(), &d.contacts)
 		switch {
-		case !c.Joined(req.Peer):
-			if d.requestJoin(joining, c, v, req, i) == joinPending {
+		case !joined:
+			if outcome == joinPending {
 				interval = joinStepInterval
 			}
 		case c.Announced(req.Peer):
@@ -365,6 +384,20 @@
 	}
 }
 
+// roleOf returns "voter" or "learner" if the instance has joined, and an empty string if the
+// outcome of its request to join leaves open whether it has.
+func roleOf(state *core.PublishedState, outcome joinOutcome) string {
+	switch {
+	case outcome == joinFailed:
+		return ""
+	case state.Members.Learners[state.Node]:
+		return "learner"
+	case outcome == joinDone && state.Members.Voter(state.Node):
+		return "voter"
+	}
+	return ""
+}
+
 // leave asks the leader, for leaveTimeout, to remove this instance from the voters if the quorum
 // is better off without it while it is stopped.
 func (d *daemon) leave(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest) {
@@ -403,8 +436,8 @@
 const toLeader = 0
 
 // requestJoin sends a request to join or leave. Even attempts go to the leader if one is
-// known, the others to the known instances in turn. A leader sends it to itself, so that its
-// own name and addresses get updated.
+// known and answers, the others to the known instances in turn. A leader sends it to itself,
+// so that its own name and addresses get updated.
 func (d *daemon) requestJoin(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest, attempt int) joinOutcome {
 	state := c.Published()
 	if state.Leader == state.Node {
@@ -417,28 +450,61 @@
 	}
 	known := slices.Clone(d.seeds())
 	for _, id := range cluster.SortedKeys(state.Members.Nodes) {
-		if addr := state.Members.Nodes[id].Addr; !slices.Contains(known, addr) {
-			known = append(known, addr)
-		}
-	}
-	addr := known[attempt%len(known)]
-	if leader, ok := state.Members.Nodes[state.Leader]; ok && attempt%2 == 0 {
-		addr = leader.Addr
-	} else if named := v.LeaderAddr(); named != "" && attempt%2 == 0 {
-		addr = named
-	}
-	if addr == d.cfg.Address {
-		return joinFailed
+		known = append(known, state.Members.Nodes[id].Addr)
+	}
+	known = append(known, v.Addrs()...)
+	var leaders []string
+	named := v.LeaderAddr()
+	if attempt%2 == 0 {
+		leaders = append(leaders, state.Members.Nodes[state.Leader].Addr, named)
+	} else {
+		known = append(known, named)
+	}
+	unusable := func(addr string) bool { return addr == "" || addr == d.cfg.Address }
+	leaders, known = slices.DeleteFunc(leaders, unusable), slices.DeleteFunc(known, unusable)
+	return d.ask(ctx, v, req, d.contacts.next(leaders, known))
+}
+
+// ask sends the request to all addresses, and returns the first outcome that is not joinFailed.
+func (d *daemon) ask(ctx context.Context, v *voter.Transport, req *message.JoinRequest, addrs []string) joinOutcome {
+	type result struct {
+		addr  string
+		reply *message.JoinReply
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	defer func() { _ = g.Wait() }()
+	defer cancel()
+	results := make(chan result, len(addrs))
+	for _, addr := range addrs {
+		g.Go(func() error {
+			reply, err := v.Join(ctx, addr, req)
+			results <- result{addr, reply, err}
+			return nil
+		})
 	}
-	done, err := v.Join(ctx, addr, req)
-	switch {
-	case err != nil:
-		d.log.Debug().Err(err).Str("peer", addr).Msg("join request failed")
-		return joinFailed
-	case !done && v.LeaderAddr() == "":
-		return joinFailed
+	for range addrs {
+		r := <-results
+		if ctx.Err() != nil && r.err != nil {
+			return joinFailed
+		}
+		if r.err != nil {
+			d.contacts.record(r.addr, "", r.err)
+			d.log.Debug().Err(r.err).Str("peer", r.addr).Msg("join request failed")
+			continue
+		}
+		leader := r.reply.Members.Nodes[r.reply.Leader].Addr
+		d.contacts.record(r.addr, leader, nil)
+		if !r.reply.RetryLater {
+			return joinDone
+		}
+		// An instance that is out of contact itself names a leader that is gone.
+		if leader != "" && !d.contacts.failed(leader) {
+			return joinPending
+		}
 	}
-	return outcomeOf(!done)
+	return joinFailed
 }
 
 func outcomeOf(retryLater bool) joinOutcome {
--- a/coordination/quorum/message.go
+++ b/coordination/quorum/message.go
@@ -65,6 +65,9 @@
 	Public string `cbor:"4,keyasint,omitempty"`
 	// Features are those that the instance announced; none for builds that announce none.
 	Features Features `cbor:"5,keyasint,omitempty"`
+	// Expendable is set if the instance may be lost at any time beside the tolerated losses,
+	// so that nothing may depend on its vote.
+	Expendable bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Features is a set of abilities that builds of control instances differ in.
@@ -190,6 +193,9 @@
 	Sent int64 `cbor:"10,keyasint,omitempty"`
 	// Snapshot is set for Install.
 	Snapshot *Snapshot `cbor:"11,keyasint,omitempty"`
+	// Addr is the address of the sender, in the first message of a call. Builds that don't
+	// know this field ignore it, and answer members only.
+	Addr string `cbor:"12,keyasint,omitempty"`
 }
 
 // Snapshot replaces all entries up to and including Index.
