quorum: let a leader that removed itself step down

Callers saw nothing but an election; the process of a leading control instance that was told to stop, with an even number of voters, ended with a nil dereference instead of an exit code 0. Cause: when the answer that commits the members without the leader arrives, the leader steps down, which drops what it knows of the other nodes, and then sends to them all the same. Change: it sends only while it still leads. Result: TestLeaderRemovesItself ended with the nil dereference before and passes with 2, 3, 4, 5 and 8 voters.

--- a/coordination/quorum/quorum_test.go
+++ b/coordination/quorum/quorum_test.go
@@ -511,3 +511,22 @@
 		}
 	})
 }
+
+// TestLeaderRemovesItself guards against a leader that ends when the members without it are
+// committed.
+func TestLeaderRemovesItself(t *testing.T) {
+	for _, n := range []int{2, 3, 4, 5, 8} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			g := newTestGroupWithTiming(t, n, uint64(n), 0, noLease)
+			g.run(3 * time.Second)
+			old := g.leader()
+			next := old.node.Members()
+			delete(next.Nodes, old.id)
+			require.NoError(t, old.node.ChangeMembers(next))
+			g.run(3 * time.Second)
+			require.NotNil(t, g.leader())
+			require.NotEqual(t, old.id, g.leader().id)
+			require.Equal(t, n-1, g.leader().node.Members().Voters())
+		})
+	}
+}
--- a/coordination/quorum/replicate.go
+++ b/coordination/quorum/replicate.go
@@ -121,11 +121,13 @@
 		p.match = m.Index
 		p.next = max(p.next, p.match+1)
 	}
-	if n.advanceCommit() {
+	advanced := n.advanceCommit()
+	switch {
+	case n.role != Leader:
+		// It has stepped down, since the members without it are committed.
+	case advanced:
 		n.broadcast()
-		return
-	}
-	if p.next <= n.log.last() {
+	case p.next <= n.log.last():
 		n.sendAppend(m.From)
 	}
 }
@@ -152,6 +154,7 @@
 // committed members.
 func (n *Node) stepDownIfRemoved() {
 	if n.membersIndex <= n.log.commit && !n.members.Voter(n.id) {
+		// Tells the others that the members without this node are committed.
 		n.broadcast()
 		n.becomeFollower(n.hard.Term, 0)
 	}
