quorum: elect the next leader at once when one has left

Callers saw half a second and more without a leader whenever a leading control instance gave up its vote and stopped; with several stops in a row these times add up. Cause: followers wait for the election timeout, and reject candidates until then, although a leader that is no member any more holds no lease. Change: a follower that learns that the members without its leader are committed campaigns in the order of the identifiers.

--- a/coordination/quorum/message.go
+++ b/coordination/quorum/message.go
@@ -53,6 +53,10 @@
 	// all of them instead, which has a node in common with every such pair of majorities.
 	Joining map[NodeID]bool `cbor:"3,keyasint,omitempty"`
 	Leaving map[NodeID]bool `cbor:"4,keyasint,omitempty"`
+	// Stopping holds voters that were told to stop and had to keep their votes. A learner takes
+	// the place of one of them before that of any other. Builds that don't know this field drop
+	// it.
+	Stopping map[NodeID]bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Peer holds the name, addresses and zone of a control instance.
@@ -144,7 +148,29 @@
 	for id := range m.Learners {
 		c.Learners[id] = true
 	}
-	c.Joining, c.Leaving = maps.Clone(m.Joining), maps.Clone(m.Leaving)
+	c.Joining, c.Leaving, c.Stopping = maps.Clone(m.Joining), maps.Clone(m.Leaving), maps.Clone(m.Stopping)
+	return c
+}
+
+// Without returns a copy without the node.
+func (m *Members) Without(id NodeID) *Members {
+	c := m.Clone()
+	delete(c.Nodes, id)
+	delete(c.Learners, id)
+	delete(c.Stopping, id)
+	return c
+}
+
+// WithStopping returns a copy in which the node is marked as stopping, or no longer.
+func (m *Members) WithStopping(id NodeID, stopping bool) *Members {
+	c := m.Clone()
+	delete(c.Stopping, id)
+	if stopping {
+		if c.Stopping == nil {
+			c.Stopping = map[NodeID]bool{}
+		}
+		c.Stopping[id] = true
+	}
 	return c
 }
 
--- a/coordination/quorum/node.go
+++ b/coordination/quorum/node.go
@@ -337,8 +337,8 @@
 		return
 	}
 	m := n.members.Clone()
-	for id := range m.Leaving {
-		delete(m.Nodes, id)
+	for id := range n.members.Leaving {
+		m = m.Without(id)
 	}
 	m.Joining, m.Leaving = nil, nil
 	if _, _, err := n.propose(Entry{Kind: EntryMembers, Members: m}); err != nil {
--- a/coordination/quorum/quorum_test.go
+++ b/coordination/quorum/quorum_test.go
@@ -513,18 +513,19 @@
 }
 
 // TestLeaderRemovesItself guards against a leader that ends when the members without it are
-// committed.
+// committed, and against followers that wait for a leader that has left.
 func TestLeaderRemovesItself(t *testing.T) {
 	for _, n := range []int{2, 3, 4, 5, 8} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			g := newTestGroupWithTiming(t, n, uint64(n), 0, noLease)
 			g.run(3 * time.Second)
 			old := g.leader()
-			next := old.node.Members()
-			delete(next.Nodes, old.id)
-			require.NoError(t, old.node.ChangeMembers(next))
-			g.run(3 * time.Second)
-			require.NotNil(t, g.leader())
+			require.NoError(t, old.node.ChangeMembers(old.node.Members().Without(old.id)))
+			began := g.now
+			for (g.leader() == nil || g.leader() == old) && g.now-began < int64(5*time.Second) {
+				g.run(time.Duration(tickInterval))
+			}
+			require.Less(t, time.Duration(g.now-began), noLease.ElectionTimeout/2)
 			require.NotEqual(t, old.id, g.leader().id)
 			require.Equal(t, n-1, g.leader().node.Members().Voters())
 		})
--- a/coordination/quorum/replicate.go
+++ b/coordination/quorum/replicate.go
@@ -75,6 +75,21 @@
 	n.log.commit = max(n.log.commit, min(m.Commit, answer.Index))
 	n.updateSynced(m)
 	n.send(answer)
+	n.succeedLeader(m.From)
+}
+
+// succeedLeader campaigns soon if the leader has removed itself: it steps down once that is
+// committed, and holds no lease that this node would have to wait for. The members without it are
+// then of its own term; those of an earlier one may only be behind.
+func (n *Node) succeedLeader(leader NodeID) {
+	term, _ := n.log.term(n.membersIndex)
+	left := term == n.hard.Term && n.membersIndex <= n.log.commit && !n.members.Voter(leader)
+	if !n.timing.NoLease || !left || !n.members.Voter(n.id) {
+		return
+	}
+	n.becomeFollower(n.hard.Term, 0)
+	n.lastLeaderContact = n.now - int64(n.timing.ElectionTimeout)
+	n.deadline = min(n.deadline, n.now+int64(n.rank(leader))*int64(n.timing.ElectionTimeout)/staggerDivisor)
 }
 
 // updateSynced records the time if the node has all that the leader had committed
