membership: let no vote outlast a planned stop

Callers saw reads and changes answered with 503, "no leader is known", for good, after all control instances had been exchanged for others that ran beside them; with one lost disk, acknowledged documents were lost.

Cause: new instances become further voters, and an instance that was told to stop gave up its vote only if the number of voters was even. Of four old and four new voters, one stop left seven, and the next three left three votes with instances that had gone. Silence took these after 12 s at the earliest.

Change: a stop gives up the vote whenever 2f + 1 others are left, and otherwise passes it to a learner in one step or marks the voter, so that the next learner takes its place at once. The process ends once that is committed, within its grace period. Beside a voter that doesn't answer, a stop waits until its silence is decided if the quorum would not bear the tolerated losses. A silent voter loses its place after 3 s if the quorum would not bear f lost disks and one more removal. The test's evictAfter follows the programs'.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -54,9 +54,6 @@
 	startTimeout     = 5 * time.Second
 	// openInterval is the time between two attempts to open the data folder.
 	openInterval = 250 * time.Millisecond
-	// leaveTimeout is the longest time for which a stop waits until the instance has given up
-	// its vote.
-	leaveTimeout = time.Second
 )
 
 // daemon runs a control instance. Its creator sets cfg, log, bootstrap, stopping, stop and
@@ -398,25 +395,39 @@
 	return ""
 }
 
-// leave asks the leader, for leaveTimeout, to remove this instance from the voters if the quorum
-// is better off without it while it is stopped.
+// leave asks the leader to take this instance's vote, and waits, for the leave timeout, until the
+// outcome is committed: the instance may never be back. It ends early if there is no leader to ask.
 func (d *daemon) leave(ctx context.Context, c *core.Core, v *voter.Transport, req *message.JoinRequest) {
 	if d.cfg.EvictAfter <= 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.LeaveTimeout)
 	defer cancel()
+	began := d.clock.Now()
 	leaving := &message.JoinRequest{Node: req.Node, Peer: req.Peer, Stopping: true}
 	ticker := time.NewTicker(joinStepInterval)
 	defer ticker.Stop()
-	for c.Joined(req.Peer) && d.requestJoin(ctx, c, v, leaving, toLeader) != joinDone {
+	for attempt := 1; ; attempt++ {
+		asked := toLeader
+		if c.Published().Leader == 0 {
+			asked = attempt
+		}
+		if d.requestJoin(ctx, c, v, leaving, asked) == joinDone {
+			break
+		}
+		wait := d.clock.Now().Sub(began)
 		select {
-		case <-ctx.Done():
-			d.log.Warn(ctx.Err()).Msg("stopping before it is known whether the vote was given up")
-			return
 		case <-ticker.C:
+			if c.InContact() {
+				continue
+			}
+		case <-ctx.Done():
 		}
+		d.log.Warn(ctx.Err()).Dur("wait-ms", wait).Bool("in-contact", c.InContact()).
+			Msg("stopping before it is known whether the vote was given up")
+		return
 	}
+	d.log.Info().Dur("wait-ms", d.clock.Now().Sub(began)).Msg("leaving with the leader's consent")
 }
 
 // joinOutcome is the outcome of a request to join or leave.
--- a/control/cmd/catkinrail-control/platform.go
+++ b/control/cmd/catkinrail-control/platform.go
@@ -11,9 +11,11 @@
 
 // Timeouts and limits of a control instance on the platform.
 const (
-	// evictAfter is longer than the outages that an instance recovers from by itself,
-	// such as a freeze or a network partition of a few seconds.
-	evictAfter = 12 * time.Second
+	// evictAfter is longer than a restart. With an election before it, it is shorter than the
+	// 4 s after which an instance that was removed no longer counts as lost.
+	evictAfter = 3 * time.Second
+	// closeTimeout is the part of the grace period in which an instance ends after it has left.
+	closeTimeout = time.Second
 	// missedReports is the number of reports that may be lost before a backend
 	// server counts as silent: one that waited for its answer until reportTimeout,
 	// and one that went to the next instance.
@@ -34,7 +36,8 @@
 	}
 	cfg := &Settings{
 		Name: n.Name, Zone: n.Zone, Zones: n.Zones, Address: n.Internal.String(), Listen: n.InternalListen.String(), Data: n.Data, Lease: defaultLease,
-		Public: n.Control.String(), EvictAfter: evictAfter, ToleratedLosses: n.ToleratedLosses, Expendable: n.Expendable,
+		Public: n.Control.String(), EvictAfter: evictAfter, LeaveTimeout: max(n.Grace-closeTimeout, closeTimeout), ToleratedLosses: n.ToleratedLosses,
+		Expendable:  n.Expendable,
 		SilentAfter: missedReports*n.ReportInterval + reportTimeout, ReuseAfter: n.AddrReuse,
 		WarmupOverage: n.WarmupOverage, WarmupSlack: n.WarmupSlack, Metrics: n.Metrics.String(), TLS: rpc.TLSSettings{TrustedNetwork: true},
 		Log: logs.Settings{Level: "info"}, NoLeases: true, firstStart: n.FirstStart,
--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -20,6 +20,8 @@
 	minPeers     = 1
 	// defaultSilentAfter allows for two lost reports.
 	defaultSilentAfter = 4 * time.Second
+	// defaultLeaveTimeout covers several elections: the leaders that are asked may stop as well.
+	defaultLeaveTimeout = 4 * time.Second
 	// defaultReuseAfter is above the time between two reports of a backend server.
 	defaultReuseAfter = 2 * time.Second
 	maxPeers          = 7
@@ -51,6 +53,9 @@
 	// EvictAfter is the time out of contact after which a control instance may be removed
 	// from the members until it joins again; zero for never.
 	EvictAfter time.Duration `yaml:"evict-after"`
+	// LeaveTimeout is the longest time for which a stop waits until the others have decided
+	// about the instance's vote.
+	LeaveTimeout time.Duration `yaml:"leave-timeout"`
 	// ToleratedLosses is the number of control instances that may lose their disks at the
 	// same time. At least twice as many and one more keep their votes, however long some
 	// are out of contact.
@@ -138,7 +143,7 @@
 	for _, f := range []struct {
 		field string
 		value time.Duration
-	}{{"evict-after", s.EvictAfter}, {"silent-after", s.SilentAfter}, {"reuse-after", s.ReuseAfter}} {
+	}{{"evict-after", s.EvictAfter}, {"leave-timeout", s.LeaveTimeout}, {"silent-after", s.SilentAfter}, {"reuse-after", s.ReuseAfter}} {
 		if f.value < 0 {
 			add(f.field, "must not be negative")
 		}
@@ -167,6 +172,9 @@
 	if s.SilentAfter == 0 {
 		s.SilentAfter = defaultSilentAfter
 	}
+	if s.LeaveTimeout == 0 {
+		s.LeaveTimeout = defaultLeaveTimeout
+	}
 	if s.ReuseAfter == 0 {
 		s.ReuseAfter = defaultReuseAfter
 	}
--- a/control/core/memberchanges.go
+++ b/control/core/memberchanges.go
@@ -41,6 +41,7 @@
 		before, after map[quorum.NodeID]bool
 	}{
 		{"leaving", old.Leaving, m.Leaving},
+		{"stopping", old.Stopping, m.Stopping},
 	} {
 		for _, id := range cluster.SortedKeys(m.Nodes) {
 			switch {
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -34,7 +34,12 @@
 	known := s.Members.Nodes[s.Node]
 	// A leader of an older build doesn't record features.
 	known.Features = self.Features
-	return s.Members.Voter(s.Node) && known == self && c.now()-c.Synced() < int64(memberTimeout)
+	return s.Members.Voter(s.Node) && !s.Members.Stopping[s.Node] && known == self && c.InContact()
+}
+
+// InContact reports whether this instance was in sync with a leader within memberTimeout.
+func (c *Core) InContact() bool {
+	return c.now()-c.Synced() < int64(memberTimeout)
 }
 
 // Announced reports whether this instance's members hold its features. They may lack them although
@@ -77,10 +82,11 @@
 // joinStep takes the next step of a request. It returns nil if nothing is left to do,
 // and ErrRetryLater if the request must be sent again.
 func (c *Core) joinStep(req *message.JoinRequest) error {
-	next, done := c.cfg.Membership.Join(c.node, req.Node, req.Peer)
+	next, done := (*quorum.Members)(nil), false
 	if req.Stopping {
-		next = c.cfg.Membership.Leave(c.node, req.Node)
-		done = next == nil
+		next, done = c.cfg.Membership.Leave(c.node, req.Node)
+	} else {
+		next, done = c.cfg.Membership.Join(c.node, req.Node, req.Peer)
 	}
 	if done {
 		return nil
--- a/control/core/votes.go
+++ b/control/core/votes.go
@@ -71,6 +71,8 @@
 	// HeardMillis is the time in milliseconds since its latest message, or -1 without one.
 	HeardMillis int64 `json:"heard-ms"`
 	Silent      bool  `json:"silent,omitempty"`
+	// Stopping is set if the voter was told to stop and had to keep its vote.
+	Stopping bool `json:"stopping,omitempty"`
 }
 
 // Silent returns the number of voters that are silent.
@@ -117,7 +119,7 @@
 			r.Learners = append(r.Learners, nameOf(m, id))
 			continue
 		}
-		v := VoterContact{Name: nameOf(m, id), Node: id, HeardMillis: -1, Silent: !heard(id)}
+		v := VoterContact{Name: nameOf(m, id), Node: id, HeardMillis: -1, Silent: !heard(id), Stopping: m.Stopping[id]}
 		if at, ok := k.heard[id]; ok {
 			v.HeardMillis = (now - at) / 1e6
 		}
--- a/coordination/membership/group_test.go
+++ b/coordination/membership/group_test.go
@@ -230,7 +230,8 @@
 			continue
 		}
 		inContact := int64(g.now)-in.node.Synced() < int64(outOfContact)
-		if in.confirmed && inContact && in.node.Members().Voter(in.id) {
+		m := in.node.Members()
+		if in.confirmed && inContact && m.Voter(in.id) && !m.Stopping[in.id] {
 			continue
 		}
 		next, done := g.policy.Join(lead.node, in.id, in.peer)
@@ -283,11 +284,11 @@
 // leave takes the leader's next step for an instance that is told to stop and reports whether it
 // may end.
 func (g *group) leave(lead, in *instance) (done bool) {
-	next := g.policy.Leave(lead.node, in.id)
+	next, done := g.policy.Leave(lead.node, in.id)
 	if next != nil {
 		g.propose(lead, next)
 	}
-	return next == nil
+	return done
 }
 
 func (g *group) propose(lead *instance, next *quorum.Members) {
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -1,12 +1,14 @@
 // Package membership decides which control instances are voters of the quorum, as
-// instances are added, lose their disks, are replaced, and fall silent for a while or for
-// good. It proposes one change at a time, from what the leader's node knows.
+// instances are added, stop, lose their disks, are replaced, and fall silent for a while or
+// for good. It proposes one change at a time, from what the leader's node knows.
 //
-// While n voters are in force, an acknowledgement stands for a majority of them, and any
-// majority that is left elects a leader that has it. So the tolerated number of disks may be
-// lost as long as no vote belongs to an instance that will never be back. A vote of such an
-// instance passes to its successor in one step; silence alone lowers the number of voters
-// only as far as the tolerated number of lost disks allows.
+// Every instance in use that has caught up is a voter. While n voters are in force, an
+// acknowledgement stands for a majority of them, and any majority that is left elects a leader
+// that has it. So the tolerated number of disks may be lost as long as no vote belongs to an
+// instance that will never be back. An instance that is told to stop may never be back: it gives
+// up its vote at every stop, whatever the number of voters, or is marked so that the next
+// learner takes its place. Silence alone lowers the number of voters only as far as the tolerated
+// number of lost disks allows.
 package membership
 
 import (
@@ -28,6 +30,9 @@
 	// respondWithin is the age of a voter's last answer up to which it isn't silent: several
 	// heartbeats.
 	respondWithin = 500 * time.Millisecond
+	// removalsAtOnce is the number of instances that may be removed for good, without a word,
+	// within the time that it takes to notice one.
+	removalsAtOnce = 1
 )
 
 // Policy holds the limits of the decisions.
@@ -40,26 +45,39 @@
 }
 
 // minVoters returns the number of voters below which losing the tolerated number of disks
-// leaves no majority. Silence never lowers the number of voters below it.
+// leaves no majority. Neither silence nor stops lower the number of voters below it.
 func (p Policy) minVoters() int {
 	return 2*p.Tolerated + 1
 }
 
+// spare reports whether the quorum bears the tolerated losses without the vote of the instance.
+func (p Policy) spare(m *quorum.Members, id quorum.NodeID) bool {
+	others := m.Voters()
+	if m.Voter(id) {
+		others--
+	}
+	return others >= p.minVoters()
+}
+
 // Join returns the members to propose as the next step towards a vote for an instance, or
 // nil if none can be proposed yet. An instance is added as a learner and becomes a voter once
 // it has caught up: in place of an earlier member with its name or address, or in place of a
-// voter that has been silent for replaceAfter, or else as a further voter. A voter whose name or
-// addresses changed is updated. done is set if nothing is left to do.
+// voter that was told to stop or has been silent for replaceAfter, or else as a further voter. A voter whose name
+// or addresses changed is updated, and one that is back after a stop is no longer marked. done is
+// set if nothing is left to do.
 func (p Policy) Join(n *quorum.Node, id quorum.NodeID, peer quorum.Peer) (next *quorum.Members, done bool) {
 	m := n.Members()
+	_, member := m.Nodes[id]
 	switch {
-	case m.Voter(id) && m.Nodes[id] == peer:
-		return nil, true
-	case m.Voter(id):
+	case member && m.Nodes[id] != peer:
 		next = m.Clone()
 		next.Nodes[id] = peer
 		return next, false
-	case !m.Learners[id]:
+	case m.Stopping[id]:
+		return m.WithStopping(id, false), false
+	case m.Voter(id):
+		return nil, true
+	case !member:
 		next = m.Clone()
 		next.Nodes[id] = peer
 		next.Learners[id] = true
@@ -68,18 +86,23 @@
 	old := predecessor(m, id, peer)
 	switch {
 	case m.Learners[old]:
-		return without(m, old), false
+		return m.Without(old), false
 	case !caughtUp(n, id):
 		return nil, false
 	case old == 0:
 		var wait bool
-		if old, wait = silentVoter(n, m, id, peer.Zone); wait {
+		if old, wait = vacantPlace(n, m, id, peer.Zone); wait {
 			return nil, false
 		}
 	}
-	next = without(m, old)
+	return promote(m, id, old), false
+}
+
+// promote returns the members with a learner as a voter, in place of another unless that is zero.
+func promote(m *quorum.Members, id, old quorum.NodeID) *quorum.Members {
+	next := m.Without(old)
 	delete(next.Learners, id)
-	return next, false
+	return next
 }
 
 func caughtUp(n *quorum.Node, id quorum.NodeID) bool {
@@ -97,78 +120,159 @@
 	return 0
 }
 
-// silentVoter returns the voter whose place passes to a new instance in the given zone, or zero
-// if there is none. It fell silent before the instance was added, and has been silent for
-// replaceAfter. Of several it is one in the zone, if there is one, and the one that fell silent
-// last, since a successor starts soon after the removal. wait is set if the decision must wait
-// until it is known whether a voter stays silent.
-func silentVoter(n *quorum.Node, m *quorum.Members, id quorum.NodeID, zone string) (old quorum.NodeID, wait bool) {
-	for _, other := range sortedNodes(m) {
-		silence := n.SinceLastContact(other)
-		if !m.Voter(other) || n.Responding(other, respondWithin) || silence < n.SinceAdded(id) {
+// vacantPlace returns the voter whose place passes to a learner, or zero if there is none: one that
+// was told to stop, or has been silent for replaceAfter. wait is set if the decision must wait
+// until it is known whether a voter that fell silent before the learner was added stays silent.
+func vacantPlace(n *quorum.Node, m *quorum.Members, learner quorum.NodeID, zone string) (old quorum.NodeID, wait bool) {
+	var best place
+	for _, id := range sortedNodes(m) {
+		if !m.Voter(id) || !m.Stopping[id] && n.Responding(id, respondWithin) {
 			continue
 		}
-		if silence < int64(replaceAfter) {
-			return 0, true
+		c := place{
+			before: n.SinceLastContact(id) >= n.SinceAdded(learner), stopping: m.Stopping[id],
+			inZone: m.Nodes[id].Zone == zone, silence: n.SinceLastContact(id),
 		}
-		better := m.Nodes[other].Zone == zone
-		if better == (m.Nodes[old].Zone == zone) {
-			better = silence < n.SinceLastContact(old)
+		if !c.stopping && c.silence < int64(replaceAfter) {
+			wait = wait || c.before
+			continue
 		}
-		if old == 0 || better {
-			old = other
+		if old == 0 || c.precedes(best) {
+			old, best = id, c
 		}
 	}
-	return old, false
+	return old, wait && !(best.before && best.stopping)
 }
 
-// Leave returns the members without an instance that is about to stop, or nil if it keeps its
-// vote. It gives its vote up if the quorum then survives the loss of one more instance, which
-// is so for an even number of voters, and if more than minVoters are left with theirs. It
-// joins again if it comes back.
-func (p Policy) Leave(n *quorum.Node, id quorum.NodeID) *quorum.Members {
+// place is what is known of a voter whose place may pass to a learner.
+type place struct {
+	// before is set if the voter fell silent before the learner was added.
+	before           bool
+	stopping, inZone bool
+	// silence is the time since the voter's last answer, in nanoseconds.
+	silence int64
+}
+
+// precedes reports whether the place passes to a learner before another does: the learner may be
+// the successor of a voter that fell silent before, most likely of one that was told to stop, of
+// one in its zone, and of the one that fell silent last, since a successor starts soon after the
+// removal. If the guess is wrong, the others' votes follow as they come back.
+func (p place) precedes(other place) bool {
+	switch {
+	case p.before != other.before:
+		return p.before
+	case p.stopping != other.stopping:
+		return p.stopping
+	case p.inZone != other.inZone:
+		return p.inZone
+	}
+	return p.silence < other.silence
+}
+
+// Leave returns the members to propose as the next step of an instance that is told to stop, or
+// nil if none can be proposed yet. It gives up its vote if enough others are left, or passes it
+// to a learner. Otherwise it is marked, so that the next learner takes its place. It joins again
+// if it comes back. done is set once the outcome is committed and nothing is left to do.
+func (p Policy) Leave(n *quorum.Node, id quorum.NodeID) (next *quorum.Members, done bool) {
+	if p.EvictAfter <= 0 {
+		return nil, true
+	}
 	m := n.Members()
+	if _, member := m.Nodes[id]; !member {
+		return nil, n.MembersIndex() <= n.CommitIndex()
+	}
+	wait := m.Voter(id) && p.spare(m, id)
+	if !m.Voter(id) || wait && p.tolerant(n, m.Without(id)) {
+		return m.Without(id), false
+	}
+	if !wait {
+		var heir quorum.NodeID
+		if heir, wait = successor(n, m, id); heir != 0 {
+			return promote(m, heir, id), false
+		}
+	}
+	if !m.Stopping[id] {
+		return m.WithStopping(id, true), false
+	}
+	return nil, !wait && n.MembersIndex() <= n.CommitIndex()
+}
+
+// tolerant reports whether a quorum of the members survives the loss of the tolerated number of
+// disks beside the voters that don't answer.
+func (p Policy) tolerant(n *quorum.Node, m *quorum.Members) bool {
 	voters := m.Voters()
-	if p.EvictAfter <= 0 || !m.Voter(id) || voters%2 != 0 || voters <= p.minVoters() {
-		return nil
+	return voters-notResponding(n, m)-p.Tolerated > voters/2
+}
+
+// notResponding returns the number of voters that don't answer.
+func notResponding(n *quorum.Node, m *quorum.Members) int {
+	lost := 0
+	for id := range m.Nodes {
+		if m.Voter(id) && !n.Responding(id, respondWithin) {
+			lost++
+		}
 	}
-	return without(m, id)
+	return lost
+}
+
+// successor returns a learner that has caught up and may take the place of a voter that is told to
+// stop, or zero if there is none. A learner that may be the successor of another voter, which fell
+// silent before the learner was added, isn't one. wait is set if a learner is about to catch up.
+func successor(n *quorum.Node, m *quorum.Members, leaving quorum.NodeID) (id quorum.NodeID, wait bool) {
+	for _, id := range sortedNodes(m) {
+		if !m.Learners[id] || !n.Responding(id, respondWithin) || succeedsSilent(n, m, id, leaving) {
+			continue
+		}
+		if caughtUp(n, id) {
+			return id, false
+		}
+		wait = true
+	}
+	return 0, wait
+}
+
+// succeedsSilent reports whether a voter other than the one that leaves fell silent before the
+// learner was added.
+func succeedsSilent(n *quorum.Node, m *quorum.Members, learner, leaving quorum.NodeID) bool {
+	for id := range m.Nodes {
+		silent := m.Voter(id) && id != leaving && !n.Responding(id, respondWithin)
+		if silent && n.SinceLastContact(id) >= n.SinceAdded(learner) {
+			return true
+		}
+	}
+	return false
 }
 
 // Evict returns a member to remove because it has been silent, and the members without it,
-// or nil if there is none. A voter is removed only if, counting silent voters as lost, the
-// quorum would not survive the loss of the tolerated number of disks, and only while there
-// are more than minVoters. So an acknowledgement always stands for more copies than disks
-// may be lost, however long an outage lasts, and instances that never come back don't lower
-// the tolerance for good.
+// or nil if there is none. A voter is removed only if, counting those that don't answer as lost,
+// the quorum would not survive a further removal and the loss of the tolerated number of disks,
+// and only while there are enough voters without it. So an acknowledgement always stands for more
+// copies than disks may be lost, however long an outage lasts, and instances that never come back
+// don't lower the tolerance for good.
 func (p Policy) Evict(n *quorum.Node) (id quorum.NodeID, next *quorum.Members) {
 	if p.EvictAfter <= 0 {
 		return 0, nil
 	}
 	m := n.Members()
-	var silent []quorum.NodeID
+	var oldest quorum.NodeID
 	for _, id := range sortedNodes(m) {
-		switch {
-		case id == n.ID() || n.SinceLastContact(id) < int64(p.EvictAfter):
-		case m.Voter(id):
-			silent = append(silent, id)
-		default:
-			return id, without(m, id)
+		silence := n.SinceLastContact(id)
+		silent := id != n.ID() && silence >= int64(p.EvictAfter)
+		if !m.Voter(id) {
+			if silent {
+				return id, m.Without(id)
+			}
+			continue
+		}
+		if silent && p.spare(m, id) && silence > n.SinceLastContact(oldest) {
+			oldest = id
 		}
 	}
 	voters := m.Voters()
-	tolerant := voters-len(silent)-p.Tolerated > voters/2
-	if len(silent) == 0 || tolerant || voters <= p.minVoters() {
+	if oldest == 0 || voters-notResponding(n, m)-p.Tolerated-removalsAtOnce > voters/2 {
 		return 0, nil
 	}
-	return silent[0], without(m, silent[0])
-}
-
-func without(m *quorum.Members, id quorum.NodeID) *quorum.Members {
-	next := m.Clone()
-	delete(next.Nodes, id)
-	delete(next.Learners, id)
-	return next
+	return oldest, m.Without(oldest)
 }
 
 func sortedNodes(m *quorum.Members) []quorum.NodeID {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -11,7 +11,7 @@
 )
 
 // evictAfter is the time that the programs use.
-const evictAfter = 12 * time.Second
+const evictAfter = 3 * time.Second
 
 // TestDisksLostAfterOutage guards against outages that lower the number of copies of an
 // acknowledged value: two of five instances are down for 15 s and keep their disks, and two others
