membership: give expendable instances no vote beside enough others

Callers would have seen no leader once instances outside the fault budget were lost, of which any number may be lost at any time. Not seen in the users' record: all control instances there are within the budget. Cause: every instance that had caught up became a voter. Change: an instance that is marked as expendable stays a learner while 2f + 1 others have votes, and one that has a vote by then becomes a learner. Result: TestLossOfExpendableInstances finds no leader in 3 of 3 cases without the change, and passes with it.

--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -427,7 +427,7 @@
 			Msg("stopping before it is known whether the vote was given up")
 		return
 	}
-	d.log.Info().Dur("wait-ms", d.clock.Now().Sub(began)).Msg("leaving with the leader's consent")
+	d.log.Info().Dur("wait-ms", d.clock.Now().Sub(began)).Msg("the leader has decided about the vote; stopping")
 }
 
 // joinOutcome is the outcome of a request to join or leave.
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -460,7 +460,7 @@
 	return c.node.SnapshotIndex()
 }
 
-// runLeader does the leader's work: it advances moves, removes silent members and
+// runLeader does the leader's work: it advances moves, adjusts the voters and
 // proposes the next pending change. On other instances it rejects the pending
 // proposals.
 func (c *Core) runLeader() {
@@ -477,7 +477,7 @@
 		return
 	}
 	c.leader.plan(c, now)
-	c.evictSilent()
+	c.adjustVoters()
 	for c.inFlight == nil && len(c.pending) > 0 {
 		p := c.pending[0]
 		c.pending = c.pending[1:]
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -27,14 +27,16 @@
 // It is longer than several elections.
 const memberTimeout = 2 * time.Second
 
-// Joined reports whether this instance is a voter, is known by the given name and
-// addresses, and was in sync with a leader within memberTimeout.
+// Joined reports whether this instance is a voter, or a learner that stands by since it is
+// expendable, is known by the given name and addresses, and was in sync with a leader within
+// memberTimeout.
 func (c *Core) Joined(self quorum.Peer) bool {
 	s := c.Published()
-	known := s.Members.Nodes[s.Node]
-	// A leader of an older build doesn't record features.
-	known.Features = self.Features
-	return s.Members.Voter(s.Node) && !s.Members.Stopping[s.Node] && known == self && c.InContact()
+	known, member := s.Members.Nodes[s.Node]
+	// A leader of an older build doesn't record these.
+	known.Features, known.Expendable = self.Features, self.Expendable
+	joined := s.Members.Voter(s.Node) && !s.Members.Stopping[s.Node] || member && self.Expendable
+	return joined && known == self && c.InContact()
 }
 
 // InContact reports whether this instance was in sync with a leader within memberTimeout.
@@ -100,13 +102,18 @@
 	return ErrRetryLater
 }
 
-// evictSilent removes, on the leader, a member that has been silent for too long. An
-// instance that comes back joins again.
-func (c *Core) evictSilent() {
+// adjustVoters takes, on the leader, a silent member's place or an expendable instance's vote.
+// An instance that comes back joins again.
+func (c *Core) adjustVoters() {
 	if !c.leader.active {
 		return
 	}
+	message := "removing silent member"
 	id, next := c.cfg.Membership.Evict(c.node)
+	if next == nil {
+		message = "taking vote of expendable member"
+		id, next = c.cfg.Membership.Demote(c.node)
+	}
 	if next == nil {
 		return
 	}
@@ -116,5 +123,5 @@
 		return
 	}
 	c.cfg.Log.Info().Str("member", name).Uint64("node", uint64(id)).
-		Int64("silent-ms", silent/1e6).Err(err).Msg("removing silent member")
+		Int64("silent-ms", silent/1e6).Err(err).Msg(message)
 }
--- a/coordination/membership/group_test.go
+++ b/coordination/membership/group_test.go
@@ -221,6 +221,8 @@
 	}
 	if _, next := g.policy.Evict(lead.node); next != nil {
 		g.propose(lead, next)
+	} else if _, next := g.policy.Demote(lead.node); next != nil {
+		g.propose(lead, next)
 	}
 	if g.now%joinInterval != 0 {
 		return
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -52,17 +52,29 @@
 
 // spare reports whether the quorum bears the tolerated losses without the vote of the instance.
 func (p Policy) spare(m *quorum.Members, id quorum.NodeID) bool {
-	others := m.Voters()
-	if m.Voter(id) {
-		others--
+	lasting := lastingVoters(m)
+	if m.Voter(id) && !m.Nodes[id].Expendable {
+		lasting--
 	}
-	return others >= p.minVoters()
+	return lasting >= p.minVoters()
+}
+
+// lastingVoters returns the number of voters that aren't expendable.
+func lastingVoters(m *quorum.Members) int {
+	n := 0
+	for id, peer := range m.Nodes {
+		if m.Voter(id) && !peer.Expendable {
+			n++
+		}
+	}
+	return n
 }
 
 // Join returns the members to propose as the next step towards a vote for an instance, or
 // nil if none can be proposed yet. An instance is added as a learner and becomes a voter once
 // it has caught up: in place of an earlier member with its name or address, or in place of a
-// voter that was told to stop or has been silent for replaceAfter, or else as a further voter. A voter whose name
+// voter that was told to stop or has been silent for replaceAfter, or else as a further voter. An
+// expendable instance stays a learner while there are enough voters without it. A voter whose name
 // or addresses changed is updated, and one that is back after a stop is no longer marked. done is
 // set if nothing is left to do.
 func (p Policy) Join(n *quorum.Node, id quorum.NodeID, peer quorum.Peer) (next *quorum.Members, done bool) {
@@ -89,6 +101,11 @@
 		return m.Without(old), false
 	case !caughtUp(n, id):
 		return nil, false
+	case peer.Expendable && p.spare(m, old):
+		if old != 0 {
+			return m.Without(old), false
+		}
+		return nil, true
 	case old == 0:
 		var wait bool
 		if old, wait = vacantPlace(n, m, id, peer.Zone); wait {
@@ -220,7 +237,7 @@
 // silent before the learner was added, isn't one. wait is set if a learner is about to catch up.
 func successor(n *quorum.Node, m *quorum.Members, leaving quorum.NodeID) (id quorum.NodeID, wait bool) {
 	for _, id := range sortedNodes(m) {
-		if !m.Learners[id] || !n.Responding(id, respondWithin) || succeedsSilent(n, m, id, leaving) {
+		if !m.Learners[id] || m.Nodes[id].Expendable || !n.Responding(id, respondWithin) || succeedsSilent(n, m, id, leaving) {
 			continue
 		}
 		if caughtUp(n, id) {
@@ -275,6 +292,20 @@
 	return oldest, m.Without(oldest)
 }
 
+// Demote returns an expendable voter that becomes a learner, since there are enough voters without
+// it, and the members with it as a learner, or nil if there is none.
+func (p Policy) Demote(n *quorum.Node) (id quorum.NodeID, next *quorum.Members) {
+	m := n.Members()
+	for _, id := range sortedNodes(m) {
+		if m.Voter(id) && m.Nodes[id].Expendable && p.spare(m, id) {
+			next = m.Clone()
+			next.Learners[id] = true
+			return id, next
+		}
+	}
+	return 0, nil
+}
+
 func sortedNodes(m *quorum.Members) []quorum.NodeID {
 	list := make([]quorum.NodeID, 0, len(m.Nodes))
 	for id := range m.Nodes {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -138,3 +139,43 @@
 		g.recover()
 	})
 }
+
+// TestLossOfExpendableInstances guards against votes of instances outside the fault budget: they may
+// all be lost at once, beside the tolerated number of disks.
+func TestLossOfExpendableInstances(t *testing.T) {
+	tests := []struct {
+		name string
+		// first of the initial instances are expendable, and later added ones.
+		initial, first, lasting, expendable int
+	}{
+		{"added to enough others", 3, 0, 0, 4},
+		{"among the initial ones", 3, 1, 1, 2},
+		{"most of the initial ones", 3, 2, 3, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGroup(t, tt.initial, 3, 1, membership.Policy{Tolerated: 1, EvictAfter: evictAfter})
+			for _, in := range g.instances[:tt.first] {
+				in.peer.Expendable = true
+				g.terminate(in)
+				g.start(in)
+				g.run(time.Second)
+			}
+			for i := range tt.lasting + tt.expendable {
+				in := g.add("zone-0")
+				in.peer.Expendable = i >= tt.lasting
+				g.start(in)
+				g.run(catchUp)
+			}
+			g.put()
+			require.Len(t, g.acked, 1)
+			for _, in := range slices.Clone(g.instances) {
+				if in.peer.Expendable {
+					g.remove(in)
+				}
+			}
+			g.loseDisks(g.instances[0])
+			g.recover()
+		})
+	}
+}
