quorum: elect the next leader also after a late message of the one that has left

Cause: a message that the leader had sent before it left, and that arrives afterwards, made its followers wait for the election timeout again. Change: the check is made after each of its messages that is accepted. The tests of coordination/quorum and coordination/membership pass.

--- a/coordination/quorum/replicate.go
+++ b/coordination/quorum/replicate.go
@@ -59,6 +59,7 @@
 		answer.Index = n.log.commit
 		n.updateSynced(m)
 		n.send(answer)
+		n.succeedLeader(m.From)
 		return
 	}
 	if t, ok := n.log.term(m.Index); !ok || t != m.LogTerm {
