follow: keep the known control instances when a stale one names others

Cause: an entry instance replaced its list of control instances by whatever list it was sent, also by that of an instance out of contact with its leader. One that was removed while it was away holds the members of that time. After an exchange these have all gone, so that an entry instance that tried such an instance once, as one of its seeds, knew nobody else any more and got no document and no backend server from then on.

Change: a list replaces the known one only from an instance in contact with its leader, at once or later on the same stream. Before that, its addresses are added to the known ones.

Result: TestKeepsPeersOfStaleInstance failed before ("from an instance out of contact": the two new instances were missing) and passes now; entry/follow passes with -race. No caller was seen with this failure; it was found by reading.

--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -274,15 +274,26 @@
 	return addr
 }
 
+// setPeers replaces the known control instances.
 func (c *Client) setPeers(peers []quorum.Peer) {
-	if len(peers) == 0 {
-		return
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.peers = peers
 }
 
+// addPeers adds control instances at addresses that aren't known yet.
+func (c *Client) addPeers(peers []quorum.Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := slices.Clone(c.peers)
+	for _, p := range peers {
+		if !slices.ContainsFunc(list, func(q quorum.Peer) bool { return q.Addr == p.Addr }) {
+			list = append(list, p)
+		}
+	}
+	c.peers = list
+}
+
 // delayReturn sets the time before which not to return to this zone's control instance.
 func (c *Client) delayReturn(d time.Duration) {
 	c.mu.Lock()
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// TestKeepsPeersOfStaleInstance guards against an entry instance that can reach nobody any more
+// because a control instance that was removed told it the members of the past.
+func TestKeepsPeersOfStaleInstance(t *testing.T) {
+	past := []quorum.Peer{{Addr: "a:1", Zone: "a"}, {Addr: "b:1", Zone: "b"}}
+	now := []quorum.Peer{{Addr: "a:5", Zone: "a"}, {Addr: "b:5", Zone: "b"}}
+	tests := []struct {
+		name    string
+		updates []*message.FollowUpdate
+		want    []string
+	}{
+		{"from an instance out of contact", []*message.FollowUpdate{{State: true, Peers: past}}, []string{"a:5", "b:5", "a:1", "b:1", "s:1"}},
+		{"from one in contact", []*message.FollowUpdate{{State: true, Current: true, Peers: past}}, []string{"a:1", "b:1", "s:1"}},
+		{"in contact later", []*message.FollowUpdate{{State: true, Peers: past}, {State: true, Current: true}}, []string{"a:1", "b:1", "s:1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, _ := newClient("a", "s:1")
+			c.setPeers(now)
+			s := &session{client: c, addr: "s:1"}
+			for _, u := range tt.updates {
+				s.apply(u)
+			}
+			require.ElementsMatch(t, tt.want, c.addrsExcept(""))
+		})
+	}
+}
+
 // TestContactTimeouts checks how long a control instance out of contact is followed.
 // One that loses contact and then three that never had it must together take less
 // than the limit of 3 s on a change.
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc"
 
 	"catkinrail.example/catkinrail/coordination/message"
+	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/coordination/token"
 	"catkinrail.example/catkinrail/protocol/control"
 	"catkinrail.example/catkinrail/state/cluster"
@@ -29,6 +30,9 @@
 	lastContact time.Time
 	// hadContact is set after the first such update.
 	hadContact bool
+	// peers are the control instances that were received while the sender was out of contact;
+	// they may be those of the past.
+	peers []quorum.Peer
 	// parts holds what has been received of updates that are sent in parts.
 	parts map[message.PartOf][]byte
 	// switched is set if the stream was closed to follow another control instance.
@@ -136,7 +140,7 @@
 	if u.State {
 		s.stateUpdates++
 	}
-	c.setPeers(u.Peers)
+	s.recordPeers(u)
 	c.recordProgress(s.addr, u)
 	if u.Current {
 		s.lastContact, s.hadContact = c.clock.Now(), true
@@ -179,6 +183,20 @@
 	}
 }
 
+// recordPeers records the control instances in an update. They replace the known ones only if the
+// sender is in contact with its leader: one that was removed while it was out of contact has the
+// members of that time, which may all have gone.
+func (s *session) recordPeers(u *message.FollowUpdate) {
+	if len(u.Peers) > 0 {
+		s.peers = u.Peers
+		s.client.addPeers(u.Peers)
+	}
+	if u.Current && len(s.peers) > 0 {
+		s.client.setPeers(s.peers)
+		s.peers = nil
+	}
+}
+
 // logChanged logs the backend servers that changed. Before readiness, when the whole
 // directory is new, it leaves out those that are available: control logs each of them.
 func (s *session) logChanged(changed []*token.Backend) {
