gossip: don't wait for seeds if no other control instance is a member

Cause: a directory counted as complete once a peer had sent its whole one, or if there were no peers. Seeds are peers, also those that have gone. The last control instance of a deployment that was exchanged or shrank to one, once it restarts, has only such seeds: its directory was never complete, entry instances that started never became ready, and orders to evacuate a zone were answered as not available.

Change: the only member's directory is complete.

Result: TestCompleteWithoutOtherMembers failed before (the only member: not complete) and passes now; control/gossip and control/follow pass with -race. No caller was seen with this failure; it was found by reading.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -88,6 +88,8 @@
 	services map[string]bool
 	// peersKnown is set once the list of peers has been read for the first time.
 	peersKnown bool
+	// alone is set while this instance is the only member. Its seeds may then have gone for good.
+	alone bool
 }
 
 // Loads are the loads of backend servers, which control instances exchange together with
@@ -262,11 +264,11 @@
 
 // Complete reports whether the directory holds what the other control instances
 // knew when this one started: it has received the whole directory of one of them,
-// or has no peers.
+// or there are no others.
 func (d *Directory) Complete() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.exchanged || (d.peersKnown && len(d.peers) == 0)
+	return d.exchanged || d.alone || (d.peersKnown && len(d.peers) == 0)
 }
 
 // Start runs the directory's goroutines in the group until ctx ends.
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -1,11 +1,13 @@
 package gossip
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/message"
@@ -426,6 +428,36 @@
 	require.True(t, alone.Complete())
 }
 
+// TestCompleteWithoutOtherMembers guards against an instance that waits for ever for the directory of
+// seeds that have gone: entry instances that start would never be ready.
+func TestCompleteWithoutOtherMembers(t *testing.T) {
+	self, other := quorum.Peer{Addr: "a:1"}, quorum.Peer{Addr: "b:1"}
+	tests := []struct {
+		name    string
+		members map[quorum.NodeID]quorum.Peer
+		want    bool
+	}{
+		{"not a member yet", nil, false},
+		{"only others are members", map[quorum.NodeID]quorum.Peer{2: other}, false},
+		{"the only member", map[quorum.NodeID]quorum.Peer{1: self}, true},
+		{"one of two members", map[quorum.NodeID]quorum.Peer{1: self, 2: other}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			var g errgroup.Group
+			d := New(Config{
+				Self: self, Clock: &manualClock{now: time.Unix(1000, 0)}, Log: logs.Discard(), Group: &g, SilentAfter: silentAfter,
+				Seeds: func() []string { return []string{"gone:1"} }, Members: func() *quorum.Members { return &quorum.Members{Nodes: tt.members} },
+			})
+			d.refreshPeers(ctx)
+			require.NoError(t, g.Wait())
+			require.Equal(t, tt.want, d.Complete())
+		})
+	}
+}
+
 // fakeLoads are loads in memory.
 type fakeLoads struct {
 	next   *message.LoadShare
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -74,6 +74,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peersKnown = true
+	d.alone = len(members) == 1 && members[d.cfg.Self.Addr]
 	for addr, p := range d.peers {
 		if _, ok := want[addr]; !ok {
 			p.cancel()
