gossip: mark silent backend servers also once a member has gone for good

Cause: no backend server was marked silent while a member couldn't be reached, since its reports may go to that member. This ended once the member was removed for its silence, after 12 s. Since a voter may keep its place however long it is silent, a member that has gone stops it for as long: backend servers that crash stay candidates for new flows like any other, and never expire.

Change: a member holds back silence for 12 s since it was last reached, or became a member, without the time for which this process was stalled.

No caller was seen with this failure; it was found by reading. After 12 s of a cut between two control instances, backend servers that report beyond it now count as silent on this side, as they did before voters kept their places.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -40,6 +40,10 @@
 	// stallThreshold is the time between two ticks above which this process counts
 	// as stalled, rather than the backend servers as silent.
 	stallThreshold = 500 * time.Millisecond
+	// goneAfter is the time after which a member that can't be reached counts as gone, so that
+	// missing reports aren't put down to it. On the platform, a member that has been silent for as
+	// long may lose its place.
+	goneAfter = 12 * time.Second
 	// saveLogInterval is the least time between two log lines about failures to
 	// save the directory.
 	saveLogInterval = 10 * time.Second
@@ -295,8 +299,8 @@
 }
 
 // checkSilence settles contested addresses and marks the backend servers that have not
-// reported in time, the latter not while a member can't be reached. Time in which this process was stalled doesn't
-// count.
+// reported in time, the latter not while a member can't be reached and may not have gone. Time in
+// which this process was stalled doesn't count.
 func (d *Directory) checkSilence() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -304,12 +308,15 @@
 	if stall := now - d.lastTick; d.lastTick != 0 && stall > int64(stallThreshold) {
 		d.cfg.Log.Info().Int64("held-ms", stall/1e6).Msg("process was held up")
 		d.dir.CompensateStall(stall)
+		for _, p := range d.peers {
+			p.reachedAt += stall
+		}
 	}
 	d.lastTick = now
 	if d.dir.Settle(now) {
 		d.notifyChange()
 	}
-	if d.memberUnreachable() {
+	if d.memberUnreachable(now) {
 		// Missing reports may have gone to an instance that can't be reached.
 		return
 	}
@@ -319,11 +326,11 @@
 	}
 }
 
-// memberUnreachable reports whether another member can't be reached. The caller
-// holds mu.
-func (d *Directory) memberUnreachable() bool {
+// memberUnreachable reports whether another member can't be reached, and could be within
+// goneAfter. The caller holds mu.
+func (d *Directory) memberUnreachable(now int64) bool {
 	for _, p := range d.peers {
-		if p.member && !p.reached {
+		if p.member && !p.reached && now-p.reachedAt < int64(goneAfter) {
 			return true
 		}
 	}
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -203,6 +203,28 @@
 	require.True(t, view(t, p.a, "s1").Silent)
 }
 
+// TestSilenceAfterMemberHasGone guards against backend servers that never become silent since a
+// member has gone for good and keeps its place in the quorum.
+func TestSilenceAfterMemberHasGone(t *testing.T) {
+	p := newPair(t)
+	p.a.Report(incarnation("s1", "a", 1))
+	p.exchange()
+	wait := func(d time.Duration) {
+		for ; d > 0; d -= 100 * time.Millisecond {
+			p.advance(100 * time.Millisecond)
+			p.failCall()
+			p.a.checkSilence()
+		}
+	}
+	wait(goneAfter - time.Second)
+	require.False(t, view(t, p.a, "s1").Silent)
+	p.advance(time.Minute)
+	wait(time.Second)
+	require.False(t, view(t, p.a, "s1").Silent, "this instance was stalled")
+	wait(time.Second)
+	require.True(t, view(t, p.a, "s1").Silent)
+}
+
 // TestDrainSurvivesRestart kills an instance right after it has acknowledged and
 // saved that a backend server drains, before it has sent that to its peer. After
 // the restart the peer must receive it, even if reports come in the meantime and
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -26,7 +26,10 @@
 	member bool
 	// reached is set while calls succeed.
 	reached bool
-	cancel  context.CancelFunc
+	// reachedAt is the time of the last call that succeeded, or from which the peer is known or a
+	// member if that is later.
+	reachedAt int64
+	cancel    context.CancelFunc
 
 	// sentRevision is the revision up to which the peer has received everything.
 	sentRevision uint64
@@ -86,6 +89,9 @@
 		if p == nil {
 			p = d.startPeer(ctx, addr)
 		}
+		if members[addr] && !p.member {
+			p.reachedAt = d.now()
+		}
 		p.member = members[addr]
 		if w.Zone != "" {
 			p.zone, p.public = w.Zone, w.Public
@@ -95,7 +101,7 @@
 
 func (d *Directory) startPeer(ctx context.Context, addr string) *peer {
 	ctx, cancel := context.WithCancel(ctx)
-	p := &peer{addr: addr, cancel: cancel, needFull: true}
+	p := &peer{addr: addr, cancel: cancel, needFull: true, reachedAt: d.now()}
 	d.peers[addr] = p
 	d.cfg.Group.Go(func() error { return d.exchange(ctx, p) })
 	return p
@@ -230,7 +236,7 @@
 		if !p.reached {
 			d.cfg.Log.Info().Str("peer", p.addr).Str("zone", p.zone).Msg("control instance reached")
 		}
-		p.reached = true
+		p.reached, p.reachedAt = true, d.now()
 		return
 	}
 	p.needFull = true
