entry, core: tell entry instances that route by bucket the control instances

Cause: such an entry instance knew the control instances in its settings and no others. Once these had been exchanged it found no leader any more, lost its lease and stayed without one until its settings were changed and it was started again.

Change: the reply to a heartbeat lists the control instances if they have changed since the last list. The entry instance tries these, and those in its settings again once two rounds of calls in a row were not answered at all. Builds without the list go on as before.

No caller was seen with this failure; it was found by reading.

--- a/control/core/core_test.go
+++ b/control/core/core_test.go
@@ -304,6 +304,25 @@
 	}
 }
 
+// TestHeartbeatListsControlInstances guards against entry instances that aren't told which control
+// instances there are, or are told with every reply.
+func TestHeartbeatListsControlInstances(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	c := tc.leader()
+	reg := &plan.Registration{Name: "entry-1", Zone: "kochi", Relay: netip.MustParseAddrPort("127.0.0.1:7301"), Incarnation: 1}
+	events, id, err := plan.Register(c.state, reg)
+	require.NoError(t, err)
+	c.enqueue(func(*cluster.State) []cluster.Event { return events })
+	c.handleJoin(tc.addInstance(2, 9))
+	tc.run(100 * time.Millisecond)
+	r, err := c.heartbeat(&message.Heartbeat{ID: id})
+	require.NoError(t, err)
+	require.Equal(t, []string{"addr-1", "addr-9"}, r.Control)
+	r, err = c.heartbeat(&message.Heartbeat{ID: id, Members: r.Members})
+	require.NoError(t, err)
+	require.Empty(t, r.Control)
+}
+
 // TestFullDiskAcknowledgesNothing checks that a control instance whose disk is full
 // neither acknowledges nor applies a command.
 func TestFullDiskAcknowledgesNothing(t *testing.T) {
--- a/control/core/leader.go
+++ b/control/core/leader.go
@@ -203,6 +203,12 @@
 	}
 	c.leader.recordHeartbeat(c, hb, now)
 	reply.Changes, reply.State = c.changesSince(hb.StateVersion)
+	if at := c.node.MembersIndex(); at != hb.Members {
+		reply.Members = at
+		for _, id := range cluster.SortedKeys(c.node.Members().Nodes) {
+			reply.Control = append(reply.Control, c.node.Members().Nodes[id].Addr)
+		}
+	}
 	return reply, nil
 }
 
--- a/control/entry/server.go
+++ b/control/entry/server.go
@@ -116,7 +116,9 @@
 		return nil, ctx.Err()
 	}
 	// The reports in the heartbeat were recorded by the first call.
-	followUp := message.Heartbeat{ID: hb.ID, Term: hb.Term, StateVersion: hb.StateVersion, Synced: hb.Synced, Busy: hb.Busy}
+	followUp := message.Heartbeat{
+		ID: hb.ID, Term: hb.Term, StateVersion: hb.StateVersion, Synced: hb.Synced, Busy: hb.Busy, Members: hb.Members,
+	}
 	r, _, err = s.core.Heartbeat(ctx, &followUp)
 	return encodeReply(r, withCode(err))
 }
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -65,6 +65,8 @@
 	Left bool `cbor:"11,keyasint,omitempty"`
 	// Wait lets the leader delay its reply until there is a change to send.
 	Wait bool `cbor:"10,keyasint,omitempty"`
+	// Members is that of the last reply that listed the control instances.
+	Members uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // FlowCounts holds an entry instance's counts for a service since its last
@@ -92,6 +94,10 @@
 	State *cluster.State `cbor:"4,keyasint,omitempty"`
 	// Unregistered is set if the instance is no longer registered.
 	Unregistered bool `cbor:"5,keyasint,omitempty"`
+	// Control lists the addresses of the control instances, and Members is the index of the entry
+	// that set them. They are left out if the instance has those of that index.
+	Control []string `cbor:"6,keyasint,omitempty"`
+	Members uint64   `cbor:"7,keyasint,omitempty"`
 }
 
 // ReadIndexReply answers a ReadIndex call. Index is that of the entry that an instance
--- a/entry/control/client.go
+++ b/entry/control/client.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,10 +55,16 @@
 
 // Client exchanges heartbeats with the control leader.
 type Client struct {
-	cfg     Config
+	cfg Config
+	// clients are those of the control instances that the leader has listed, or of those in the
+	// settings. Only Run changes them, with mu held.
 	clients []*rpc.Client
+	// unanswered is the number of calls in a row that no control instance answered.
+	unanswered int
 	// current is the index of the control instance in use.
 	current int
+	// members is the index of the list of control instances that the leader sent last.
+	members uint64
 	term    uint64
 	backoff time.Duration
 	leaving atomic.Bool
@@ -64,6 +72,10 @@
 	// registered is cleared when control replies that the instance isn't registered.
 	registered bool
 	ready      atomic.Bool
+
+	mu sync.Mutex
+	// closedBytes is the number of bytes exchanged with control instances that have gone.
+	closedBytes int64
 }
 
 // New returns a client that tries the control instances in turn.
@@ -93,7 +105,9 @@
 
 // Bytes returns the number of bytes exchanged with the control instances.
 func (c *Client) Bytes() int64 {
-	total := int64(0)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := c.closedBytes
 	for _, cl := range c.clients {
 		sent, received := cl.Bytes()
 		total += sent + received
@@ -109,7 +123,7 @@
 			c.tryNextPeer(ctx, err)
 			continue
 		}
-		c.backoff = minBackoff
+		c.backoff, c.unanswered = minBackoff, 0
 	}
 	return nil
 }
@@ -134,6 +148,15 @@
 	if skipped, ok := c.cfg.Limiter.Allow(); ok && drpcerr.Code(err) != uint64(api.Code_NOT_LEADER) {
 		c.cfg.Log.Warn(err).Uint64("skipped", skipped).Msg("call to control instance failed")
 	}
+	c.unanswered++
+	if drpcerr.Code(err) == uint64(api.Code_NOT_LEADER) {
+		c.unanswered = 0
+	}
+	if c.unanswered > 2*len(c.clients) {
+		// All that the leader listed may have been exchanged in the meantime.
+		c.unanswered = 0
+		c.setInstances(slices.Concat(c.addrs(), c.cfg.Peers))
+	}
 	c.current = (c.current + 1) % len(c.clients)
 	wait := c.backoff/2 + rand.N(c.backoff)
 	c.backoff = min(2*c.backoff, maxBackoff)
@@ -182,7 +205,7 @@
 	hb := message.Heartbeat{
 		ID: e.Self(), Term: c.term, StateVersion: e.Version(), Synced: e.Synced(), Busy: e.Busy(sent),
 		Announcements: c.cfg.Registry.Due(), Exceptions: e.Exceptions(),
-		Leaving: c.leaving.Load(), Left: c.left.Load(), Counts: c.cfg.Stats.TakeCounts(), Wait: true,
+		Leaving: c.leaving.Load(), Left: c.left.Load(), Counts: c.cfg.Stats.TakeCounts(), Wait: true, Members: c.members,
 	}
 	timeout := callTimeout
 	if hb.StateVersion == 0 {
@@ -205,11 +228,19 @@
 // the lease counts. A reply from an earlier term comes from a replaced leader and is
 // ignored.
 func (c *Client) apply(r *message.HeartbeatReply, sent int64) error {
-	e := c.cfg.Engine
+	e, addr := c.cfg.Engine, c.clients[c.current].Addr()
 	if r.Term < c.term {
 		return nil
 	}
+	if r.Term > c.term {
+		// An earlier leader's list may not have been committed.
+		c.members = 0
+	}
 	c.term = r.Term
+	if len(r.Control) > 0 {
+		c.setInstances(r.Control)
+		c.members = r.Members
+	}
 	if r.Unregistered {
 		c.registered = false
 		c.cfg.Registration.Incarnation++
@@ -220,7 +251,7 @@
 		e.Replace(r.State, now)
 	}
 	if err := e.Update(r.Changes, now); err != nil {
-		return catkinrail.At(err, "apply changes", c.clients[c.current].Addr())
+		return catkinrail.At(err, "apply changes", addr)
 	}
 	e.SetLease(sent + int64(r.Lease))
 	if e.Version() > 0 {
@@ -228,3 +259,40 @@
 	}
 	return nil
 }
+
+// addrs returns the addresses of the control instances to try.
+func (c *Client) addrs() (list []string) {
+	for _, cl := range c.clients {
+		list = append(list, cl.Addr())
+	}
+	return list
+}
+
+// setInstances replaces the control instances other than the one in use.
+func (c *Client) setInstances(list []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	inUse := c.clients[c.current]
+	list = slices.Concat([]string{inUse.Addr()}, list)
+	old := map[string]*rpc.Client{}
+	for _, cl := range c.clients {
+		old[cl.Addr()] = cl
+	}
+	c.clients, c.current = nil, 0
+	for _, addr := range list {
+		if slices.Contains(c.addrs(), addr) {
+			continue
+		}
+		cl := old[addr]
+		if cl == nil {
+			cl = rpc.NewClient(addr, c.cfg.Credentials)
+		}
+		delete(old, addr)
+		c.clients = append(c.clients, cl)
+	}
+	for _, cl := range old {
+		sent, received := cl.Bytes()
+		c.closedBytes += sent + received
+		cl.Close()
+	}
+}
