follow: return less often to a control instance that sends nothing

Cause: an entry instance closes its stream 5 s after it lost its own zone's control instance, to return to that one. If it has gone and is still a member, each return fails: every 5 s the entry instance has no updates for up to 0.5 s and starts a stream elsewhere, often with the whole directory. That went on for as long as the member kept its place, which may be for good.

Change: the delay doubles with each stream from that instance without an update, up to 20 s. It doesn't apply to another instance that takes its place.

Result: TestReturnsLessOftenToGoneInstance failed with the delay fixed at 5 s ("second failure": 6 s instead of 11 s) and passes now; entry/follow passes with -race. How long streams were interrupted was not measured. No caller was seen with this failure; it was found by reading. What is left: a return every 20 s. An instance that is back after more than 10 s is followed again up to 20 s later, not 5 s.

--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -47,6 +47,10 @@
 	// stream from another control instance is closed to return to this zone's. One that
 	// has stalled must not be retried every second.
 	returnDelay = 5 * time.Second
+	// maxReturnDelay limits the delay, which doubles with each stream from this zone without an
+	// update: an instance that has gone may stay a member, and one that is back must lend flows
+	// on this zone's cold backend servers before long.
+	maxReturnDelay = 4 * returnDelay
 	// minReturnDelay is the least delay after this instance has become ready. It is random
 	// up to returnDelay, since many instances become ready together.
 	minReturnDelay = time.Second
@@ -59,6 +63,9 @@
 	streamTimeout = 24 * time.Hour
 )
 
+// maxDoublings is above the number after which every delay that doubles has reached its limit.
+const maxDoublings = 10
+
 // Client follows one control instance at a time and passes its updates to the
 // token engine.
 type Client struct {
@@ -80,6 +87,11 @@
 	attempt int
 	// returnAt is the time from which to return to this zone's control instance.
 	returnAt time.Time
+	// lost is the number of consecutive streams without an update from this zone's control
+	// instance at lostAddr, and retryAt the time from which to return to it.
+	lost     int
+	lostAddr string
+	retryAt  time.Time
 	// resume is the point that the last stream reached; resumeAddr is the address of
 	// that stream's control instance.
 	resume     message.ResumePoint
@@ -130,9 +142,7 @@
 		err := s.run(ctx)
 		c.control.Store(nil)
 		c.recordEnd(s)
-		if own = c.inOwnZone(cmp.Or(s.addr, s.addrs[0])); own {
-			c.delayReturn(returnDelay)
-		}
+		own = c.recordOwnEnd(s)
 		if s.stateUpdates > 0 {
 			backoff = minBackoff
 		}
@@ -184,7 +194,6 @@
 func (c *Client) firstContactTimeout() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	const maxDoublings = 10
 	rounds := c.withoutContact / max(1, 2*(len(c.peers)+len(c.seeds)))
 	return min(minFirstContactTimeout<<min(rounds, maxDoublings), maxFirstContactTimeout)
 }
@@ -301,6 +310,28 @@
 	c.returnAt = c.clock.Now().Add(d)
 }
 
+// recordOwnEnd reports whether a stream was one from this zone's control instance, and if so sets the
+// time before which not to return to it.
+func (c *Client) recordOwnEnd(s *session) bool {
+	addr := cmp.Or(s.addr, s.addrs[0])
+	if !c.inOwnZone(addr) {
+		return false
+	}
+	c.delayReturn(returnDelay)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.received || addr != c.lostAddr {
+		c.lost = 0
+	}
+	c.lostAddr, c.retryAt = addr, c.returnAt
+	if s.received {
+		return true
+	}
+	c.retryAt = c.clock.Now().Add(min(returnDelay<<min(c.lost, maxDoublings), maxReturnDelay))
+	c.lost++
+	return true
+}
+
 // shouldReturn reports whether to switch from the address to this zone's control
 // instance: it is another one, this instance is ready, since another stream would begin
 // with the whole directory again, and the delay is over.
@@ -308,5 +339,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own := c.ownZoneAddr()
-	return c.Ready() && own != "" && own != addr && c.clock.Now().After(c.returnAt)
+	now := c.clock.Now()
+	return c.Ready() && own != "" && own != addr && now.After(c.returnAt) && (own != c.lostAddr || now.After(c.retryAt))
 }
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -99,6 +99,42 @@
 	}
 }
 
+// TestReturnsLessOftenToGoneInstance guards against giving up a working stream every 5 s for a
+// control instance of the own zone that has gone and is still a member.
+func TestReturnsLessOftenToGoneInstance(t *testing.T) {
+	clk := &manualClock{now: time.Unix(1000, 0)}
+	c, _ := newClient("a", "s:1")
+	c.clock = clk
+	c.synced.Store(true)
+	gone := []quorum.Peer{{Name: "a-1", Addr: "a:1", Zone: "a"}, {Addr: "b:1", Zone: "b"}}
+	next := []quorum.Peer{{Name: "a-5", Addr: "a:5", Zone: "a"}, {Addr: "b:1", Zone: "b"}}
+	tests := []struct {
+		name     string
+		peers    []quorum.Peer
+		received bool
+		want     time.Duration
+	}{
+		{"first failure", gone, false, returnDelay},
+		{"second failure", gone, false, 2 * returnDelay},
+		{"third failure", gone, false, 4 * returnDelay},
+		{"further failure", gone, false, maxReturnDelay},
+		{"it is back", gone, true, returnDelay},
+		{"lost again", gone, false, returnDelay},
+		{"lost for longer", gone, false, 2 * returnDelay},
+		{"its successor", next, false, returnDelay},
+	}
+	for _, tt := range tests {
+		c.setPeers(tt.peers)
+		require.True(t, c.recordOwnEnd(&session{addrs: []string{c.ownZoneAddr()}, received: tt.received}), tt.name)
+		require.False(t, c.recordOwnEnd(&session{addrs: []string{"b:1"}, received: true}), tt.name)
+		after := time.Duration(0)
+		for ; !c.shouldReturn("b:1"); after += time.Second {
+			clk.now = clk.now.Add(time.Second)
+		}
+		require.Equal(t, tt.want+time.Second, after, tt.name)
+	}
+}
+
 // TestKeepsPeersOfStaleInstance guards against an entry instance that can reach nobody any more
 // because a control instance that was removed told it the members of the past.
 func TestKeepsPeersOfStaleInstance(t *testing.T) {
