gossip: compose no message for a peer that can't be connected to

Cause: a control instance tries its seeds and the members for as long as they are listed, which is right, but each attempt first composed and encoded the whole directory. For one that has gone this goes on for ever: about every 0.3 s if its machine refuses connections, every 0.9 s if it doesn't answer, and after each change of the directory. Others aren't delayed, since each peer has a goroutine of its own.

Change: after a failed call the peer is connected to before the message is composed.

Result: TestNoMessageForGoneSeed failed before (a message for a port without a listener) and passes now; control/gossip passes with -race. No caller was seen with this failure; it was found by reading.

--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -483,13 +484,38 @@
 // fakeLoads are loads in memory.
 type fakeLoads struct {
 	next   *message.LoadShare
+	shared int
 	merged []*message.LoadShare
 }
 
-func (f *fakeLoads) Share(string, string) *message.LoadShare { return f.next }
+func (f *fakeLoads) Share(string, string) *message.LoadShare {
+	f.shared++
+	return f.next
+}
 
 func (f *fakeLoads) Merge(m *message.LoadShare) { f.merged = append(f.merged, m) }
 
+// TestNoMessageForGoneSeed guards against composing the whole directory again and again for a seed
+// that has gone.
+func TestNoMessageForGoneSeed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	var g errgroup.Group
+	d := New(Config{
+		Clock: &manualClock{now: time.Unix(1000, 0)}, Log: logs.Discard(), Group: &g, SilentAfter: silentAfter,
+		Seeds:   func() []string { return []string{l.Addr().String()} },
+		Members: func() *quorum.Members { return &quorum.Members{} },
+	})
+	loads := &fakeLoads{}
+	d.ExchangeLoads(loads)
+	d.refreshPeers(ctx)
+	require.NoError(t, g.Wait())
+	require.Zero(t, loads.shared)
+}
+
 // TestLoadsTravelWithRenewals guards against loads that are sent with every change of the
 // directory or not at all, and against a message with nothing but load that makes the next
 // one repeat the directory.
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -114,9 +114,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		g, revision, changed := d.nextMessage(p)
-		if g != nil {
-			d.recordResult(p, revision, d.call(ctx, client, p, g))
+		changed, err := d.connect(ctx, client, p)
+		if err == nil {
+			changed = d.send(ctx, client, p)
 		}
 		timer.Reset(renewalInterval)
 		select {
@@ -129,6 +129,32 @@
 	return nil
 }
 
+// connect connects to a peer that the last call didn't reach, so that no message is composed for one
+// that has gone. It returns a channel that is closed at the next change.
+func (d *Directory) connect(ctx context.Context, client *rpc.Client, p *peer) (<-chan struct{}, error) {
+	d.mu.Lock()
+	reached, changed := p.reached, d.changed
+	d.mu.Unlock()
+	if reached {
+		return changed, nil
+	}
+	err := client.Call(ctx, "gossip", callTimeout, func(context.Context, drpc.Conn) error { return nil })
+	if err != nil {
+		d.recordResult(p, 0, err)
+	}
+	return changed, err
+}
+
+// send sends the next message to a peer, if any. It returns a channel that is closed at the next
+// change.
+func (d *Directory) send(ctx context.Context, client *rpc.Client, p *peer) <-chan struct{} {
+	g, revision, changed := d.nextMessage(p)
+	if g != nil {
+		d.recordResult(p, revision, d.call(ctx, client, p, g))
+	}
+	return changed
+}
+
 // nextMessage returns the next message to a peer, with the load if that is due, or nil if
 // there is nothing to send, and the other results of composeMessage.
 func (d *Directory) nextMessage(p *peer) (*message.Gossip, uint64, <-chan struct{}) {
