quorum: test that reads don't wait for members that have gone

Nothing was wrong: TestReadsAfterMembersHaveGone passed at once, 3 times with -race. Reads and the time of the last sync count the voters in force only.

--- a/coordination/quorum/read_test.go
+++ b/coordination/quorum/read_test.go
@@ -87,6 +87,32 @@
 	})
 }
 
+// TestReadsAfterMembersHaveGone guards against reads and a time of the last sync that wait for members
+// that were removed.
+func TestReadsAfterMembersHaveGone(t *testing.T) {
+	g := newTestGroupWithTiming(t, 4, 1, 0, noLease)
+	g.run(3 * time.Second)
+	lead := g.leader()
+	for range 2 {
+		id := lead.id
+		for g.members[id].down || id == lead.id {
+			id = id%4 + 1
+		}
+		g.crash(g.members[id])
+		next := lead.node.Members()
+		delete(next.Nodes, id)
+		require.NoError(t, lead.node.ChangeMembers(next))
+		g.run(time.Second)
+	}
+	require.Equal(t, 2, lead.node.Members().Voters())
+	synced := lead.node.Synced()
+	reads := g.beginReads()
+	g.run(200 * time.Millisecond)
+	require.Len(t, reads, 1)
+	require.True(t, lead.node.ReadConfirmed(reads[0].mark))
+	require.Greater(t, lead.node.Synced(), synced)
+}
+
 func TestReadsRequireLeader(t *testing.T) {
 	g := newTestGroupWithTiming(t, 3, 1, 0, noLease)
 	g.run(time.Second)
