--- a/control/evacuation/store_test.go
+++ b/control/evacuation/store_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/control/controltest"
@@ -79,6 +80,28 @@
 	require.NoError(t, set(ctx, in, "c", false), "an evacuated zone whose backend servers have ended")
 }
 
+// TestOrderAndDocumentWhileLeaderStops guards against an order or a document that waits for a leader that
+// has gone: both are under way at another instance while the leader stops.
+func TestOrderAndDocumentWhileLeaderStops(t *testing.T) {
+	list := startInstances(t, 3, quorum.AllFeatures)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, set(ctx, list[0], "a", false), "there is a leader")
+	id := list[0].Core.Published().Leader
+	lead, other := list[id-1], list[id%3]
+	documents := document.New(other.Core, rpc.NewPool(nil), clock.New(), metrics.NewRegistry())
+	var g errgroup.Group
+	g.Go(func() error { return set(ctx, other, "a", true) })
+	g.Go(func() error { return documents.PutDocument(ctx, &catkinrail.Document{Version: 1}) })
+	lead.Stop(t)
+	require.NoError(t, g.Wait())
+	_, err := documents.CurrentDocument(ctx)
+	require.NoError(t, err)
+	p := other.Core.Published()
+	require.Equal(t, uint64(1), p.Document.Version)
+	require.Equal(t, []catkinrail.Zone{"a"}, p.Evacuations.Zones)
+}
+
 // TestNoOrderWithoutMajority stops two of three instances. An order at the third must fail with
 // ErrUnavailable, and with the same error while builds are mixed.
 func TestNoOrderWithoutMajority(t *testing.T) {
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -168,6 +168,32 @@
 	view(t, p.a, "s3")
 }
 
+// TestDirectorySurvivesExchange guards against backend servers that are lost or changed when the only
+// instance that they report to is exchanged, and its successor too.
+func TestDirectorySurvivesExchange(t *testing.T) {
+	p := newPair(t)
+	draining, cold := incarnation("s1", "a", 7), incarnation("s2", "a", 3)
+	draining.Draining, cold.Warmup, cold.StartedAt = true, 10*time.Second, 200
+	p.a.Report(draining)
+	p.a.Report(cold)
+	p.a.Report(incarnation("s3", "a", 1))
+	p.exchange()
+	p.a.Leave("s3", 100)
+	p.exchange()
+	last := newDirectory(p.clock, "c", nil)
+	p.advance(time.Second)
+	next := &pair{t: t, clock: p.clock, a: p.b, b: last, link: &peer{addr: "c", needFull: true, member: true}}
+	next.exchange()
+	require.True(t, last.Complete())
+	for _, d := range []*Directory{p.b, last} {
+		require.True(t, view(t, d, "s1").Draining)
+		require.Equal(t, uint64(7), view(t, d, "s1").Sequence)
+		require.Equal(t, int64(200), view(t, d, "s2").StartedAt)
+		require.Equal(t, 9*time.Second, view(t, d, "s2").Warmup)
+		require.True(t, view(t, d, "s3").Gone)
+	}
+}
+
 // TestDigestMismatchForcesFullExchange checks that a change is received in the end
 // although its message was lost without an error, as with a peer that restarts from
 // an old directory.
