warmup: show that nobody lends for the zone of a voter that has gone

The lender for a zone is its first voter by name. One that has gone and keeps its vote, as the last 2f + 1 do, lends nothing, and nobody takes its place: the zone's cold backend servers get no flows until they are warm. Another instance must not decide by itself that the lender has gone, or two would lend at once; the members would have to say so.

--- a/coordination/warmup/warmup_test.go
+++ b/coordination/warmup/warmup_test.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// TestZoneOfGoneVoter guards against a zone for which nobody lends, since its lender has gone and keeps
+// its place among the voters.
+func TestZoneOfGoneVoter(t *testing.T) {
+	flows := 0
+	for _, v := range voters[:2] {
+		l := settledLender(v.Name, voters, coldServer("b", 20))
+		flows += lent(l.Lend(want(1, 1, 1), settled))
+	}
+	require.Positive(t, flows)
+}
+
 // TestExtremeRates guards against rates of a valid document that leave no whole nanosecond between
 // two packets, or more than fit: both ended the instance or lent without a limit.
 func TestExtremeRates(t *testing.T) {
