follow: follow the control instance that lends in the zone, not a learner

Cause: the lender for a zone is its first voter by name; an entry instance followed the first member by name, with or without a vote. While a learner of the zone came first, the zone's entry instances reported to it and got no loans: flows on cold backend servers waited until these were warm. A learner that stays one would keep it so for good.

Change: control tells entry instances which members lend no flows; these come last among those of the zone. Who may lend is decided in one place, warmup.Voters. Older builds on either side go on as before.

Result: TestFollowsLender failed with the choice by name alone (a:1 instead of a:2) and passes now, as does TestPeers; control/follow, control/warmup, entry/follow and coordination/token pass with -race. No caller was seen with this failure; it was found by reading.

--- a/control/follow/server.go
+++ b/control/follow/server.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"catkinrail.example/catkinrail/control/gossip"
 	"catkinrail.example/catkinrail/coordination/message"
 	"catkinrail.example/catkinrail/coordination/quorum"
+	"catkinrail.example/catkinrail/coordination/warmup"
 	"catkinrail.example/catkinrail/logs"
 	"catkinrail.example/catkinrail/state/cluster"
 	"catkinrail.example/catkinrail/transport/clock"
@@ -303,9 +305,7 @@
 	u.Resume = message.ResumePoint{Process: st.process, Revision: st.revision}
 	if published.Members != st.members {
 		st.members = published.Members
-		for _, id := range cluster.SortedKeys(published.Members.Nodes) {
-			u.Peers = append(u.Peers, published.Members.Nodes[id])
-		}
+		u.Peers, u.Passive = peers(published.Members)
 	}
 	body, err := cluster.EncodeCompressed(u)
 	if err != nil {
@@ -313,3 +313,16 @@
 	}
 	return st.send(body)
 }
+
+// peers returns the control instances, and the addresses of those that lend no flows.
+func peers(m *quorum.Members) (list []quorum.Peer, passive []string) {
+	voters := warmup.Voters(m)
+	for _, id := range cluster.SortedKeys(m.Nodes) {
+		p := m.Nodes[id]
+		list = append(list, p)
+		if !slices.ContainsFunc(voters, func(v warmup.Voter) bool { return v.Addr == p.Addr }) {
+			passive = append(passive, p.Addr)
+		}
+	}
+	return list, passive
+}
--- a/control/follow/server_test.go
+++ b/control/follow/server_test.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// TestPeers guards against entry instances that follow a learner of their zone, which lends them nothing.
+func TestPeers(t *testing.T) {
+	list, passive := peers(&quorum.Members{
+		Nodes: map[quorum.NodeID]quorum.Peer{1: {Name: "c1", Addr: "a:1"}, 2: {Name: "c2", Addr: "a:2"}}, Learners: map[quorum.NodeID]bool{1: true},
+	})
+	require.Len(t, list, 2)
+	require.Equal(t, []string{"a:1"}, passive)
+}
+
 // TestLargeDocumentInParts guards against documents that don't arrive on slow links: no message may
 // take long, changes of the directory come between the parts, and nothing says that the entry
 // instance has everything before it has the document. Entry instances of older builds get it whole.
--- a/control/warmup/server.go
+++ b/control/warmup/server.go
@@ -153,13 +153,8 @@
 	now := s.cfg.Clock.Now().UnixNano()
 	var voters []warmup.Voter
 	if p != nil && p.Members != nil {
-		for id, peer := range p.Members.Nodes {
-			if p.Members.Voter(id) {
-				voters = append(voters, warmup.Voter{Name: peer.Name, Zone: catkinrail.Zone(peer.Zone)})
-			}
-		}
+		voters = warmup.Voters(p.Members)
 	}
-	slices.SortFunc(voters, func(a, b warmup.Voter) int { return cmp.Compare(a.Name, b.Name) })
 	s.lender.SetView(voters, synced, now, s.cfg.Wall.Now().UnixNano())
 	return now
 }
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -195,6 +195,8 @@
 	Part   []byte `cbor:"9,keyasint,omitempty"`
 	PartOf PartOf `cbor:"10,keyasint,omitempty"`
 	Last   bool   `cbor:"11,keyasint,omitempty"`
+	// Passive holds the addresses of the peers that lend no flows on cold backend servers.
+	Passive []string `cbor:"12,keyasint,omitempty"`
 }
 
 // PartOf is what an update that is sent in parts holds.
--- a/coordination/warmup/lender.go
+++ b/coordination/warmup/lender.go
@@ -9,6 +9,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/message"
+	"catkinrail.example/catkinrail/coordination/quorum"
 )
 
 const (
@@ -41,9 +42,22 @@
 // Voter is a control instance with a vote.
 type Voter struct {
 	Name string
+	Addr string
 	Zone catkinrail.Zone
 }
 
+// Voters returns the control instances that may lend flows, by name. Entry instances follow the first
+// one of their zone.
+func Voters(m *quorum.Members) (list []Voter) {
+	for id, peer := range m.Nodes {
+		if m.Voter(id) {
+			list = append(list, Voter{Name: peer.Name, Addr: peer.Addr, Zone: catkinrail.Zone(peer.Zone)})
+		}
+	}
+	slices.SortFunc(list, func(a, b Voter) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
 // Server is a cold backend server of a service with a warm-up limit.
 type Server struct {
 	Key
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -82,6 +82,8 @@
 	mu    sync.Mutex
 	seeds []string
 	peers []quorum.Peer
+	// passive holds the addresses of the peers that lend no flows.
+	passive []string
 	// attempt counts the attempts outside this instance's zone; it selects the next
 	// address.
 	attempt int
@@ -271,16 +273,27 @@
 }
 
 // ownZoneAddr returns the address of the first control instance in this zone by name, or an
-// empty string. That is the one that lends flows on the zone's cold backend servers. The
-// caller holds mu.
+// empty string. That is the one that lends flows on the zone's cold backend servers; those that lend
+// none come last. The caller holds mu.
 func (c *Client) ownZoneAddr() string {
-	name, addr := "", ""
-	for _, p := range c.peers {
-		if p.Zone == string(c.zone) && (addr == "" || p.Name < name) {
-			name, addr = p.Name, p.Addr
+	var own *quorum.Peer
+	for i := range c.peers {
+		if p := &c.peers[i]; p.Zone == string(c.zone) && (own == nil || c.precedes(p, own)) {
+			own = p
 		}
 	}
-	return addr
+	if own == nil {
+		return ""
+	}
+	return own.Addr
+}
+
+// precedes reports whether to follow p rather than q. The caller holds mu.
+func (c *Client) precedes(p, q *quorum.Peer) bool {
+	if passive := slices.Contains(c.passive, p.Addr); passive != slices.Contains(c.passive, q.Addr) {
+		return !passive
+	}
+	return p.Name < q.Name
 }
 
 // setPeers replaces the known control instances.
@@ -290,6 +303,13 @@
 	c.peers = peers
 }
 
+// setPassive replaces the addresses of the control instances that lend no flows.
+func (c *Client) setPassive(list []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.passive = list
+}
+
 // addPeers adds control instances at addresses that aren't known yet.
 func (c *Client) addPeers(peers []quorum.Peer) {
 	c.mu.Lock()
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// TestFollowsLender guards against following a control instance of the own zone that lends no flows,
+// beside the one that does.
+func TestFollowsLender(t *testing.T) {
+	peers := []quorum.Peer{{Name: "a-1", Addr: "a:1", Zone: "a"}, {Name: "a-2", Addr: "a:2", Zone: "a"}, {Name: "a-3", Addr: "a:3", Zone: "a"}}
+	tests := []struct {
+		passive []string
+		want    string
+	}{{nil, "a:1"}, {[]string{"a:1"}, "a:2"}, {[]string{"a:1", "a:2", "a:3"}, "a:1"}}
+	for _, tt := range tests {
+		c, _ := newClient("a", "s:1")
+		(&session{client: c}).apply(&message.FollowUpdate{State: true, Current: true, Peers: peers, Passive: tt.passive})
+		require.Equal(t, tt.want, c.ownZoneAddr(), tt.passive)
+	}
+}
+
 // manualClock is a clock whose time the tests set.
 type manualClock struct{ now time.Time }
 
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -30,9 +30,10 @@
 	lastContact time.Time
 	// hadContact is set after the first such update.
 	hadContact bool
-	// peers are the control instances that were received while the sender was out of contact;
-	// they may be those of the past.
-	peers []quorum.Peer
+	// peers are the control instances that were received while the sender was out of contact, and
+	// may be those of the past; passive are the addresses of those that lend no flows.
+	peers   []quorum.Peer
+	passive []string
 	// parts holds what has been received of updates that are sent in parts.
 	parts map[message.PartOf][]byte
 	// switched is set if the stream was closed to follow another control instance.
@@ -188,11 +189,12 @@
 // members of that time, which may all have gone.
 func (s *session) recordPeers(u *message.FollowUpdate) {
 	if len(u.Peers) > 0 {
-		s.peers = u.Peers
+		s.peers, s.passive = u.Peers, u.Passive
 		s.client.addPeers(u.Peers)
 	}
 	if u.Current && len(s.peers) > 0 {
 		s.client.setPeers(s.peers)
+		s.client.setPassive(s.passive)
 		s.peers = nil
 	}
 }
