--- a/coordination/plan/plan_test.go
+++ b/coordination/plan/plan_test.go
@@ -333,6 +333,48 @@
 	require.Equal(t, []catkinrail.InstanceID{a, b, c}, h.state.View.Base)
 }
 
+// TestExchangeOfEntryInstances guards against a view that counts entry instances that have gone. Those
+// of a zone that lost more than half of its leases may still forward, and stay registered as silent
+// until an operator removes them.
+func TestExchangeOfEntryInstances(t *testing.T) {
+	tests := []struct {
+		name string
+		// gone is the number of the three old instances that have gone, before the first new one is
+		// registered and after each of them.
+		gone   []int
+		silent bool
+	}{
+		{"one after another", []int{0, 1, 2, 3}, false},
+		{"at once beside the new ones", []int{0, 0, 0, 0}, false},
+		{"at once before the new ones", []int{3, 3, 3, 3}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := newHarness(t)
+			want := []catkinrail.InstanceID{h.register("other", "kollam")}
+			var old []catkinrail.InstanceID
+			for i := range 3 {
+				old = append(old, h.register(fmt.Sprint("old-", i), "kochi"))
+			}
+			h.run(3 * time.Second)
+			for i, n := range tt.gone {
+				if i > 0 {
+					want = append(want, h.register(fmt.Sprint("new-", i), "kochi"))
+				}
+				h.run(3*time.Second, old[:n]...)
+			}
+			h.run(10*time.Second, old...)
+			require.Equal(t, catkinrail.Settled, h.state.View.Phase)
+			require.Equal(t, want, h.state.View.Base)
+			for _, id := range old {
+				in := h.state.Instances[id]
+				require.Equal(t, tt.silent, in != nil)
+				require.True(t, in == nil || in.Silent)
+			}
+		})
+	}
+}
+
 func TestRequests(t *testing.T) {
 	h := newHarness(t)
 	create := &plan.Command{Request: "r1", Create: config("drawvault", "192.0.2.2:443")}
