follow: try seeds that aren't members last

Cause: an entry instance that loses its stream tried the members and its seeds in one rotation. After an exchange its seeds have gone, and stay in the rotation. Each takes 0.5 s and a pause: with three in a row after a stream that stalled, an entry instance is without updates for longer than the 3 s that a drain may take (calculated from the timeouts, not measured).

Change: after a stream in contact with a leader, the members are tried first, from a random one, then the one that was followed, then the other seeds.

No caller was seen with this failure; it was found by reading.

--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -84,9 +84,11 @@
 	peers []quorum.Peer
 	// passive holds the addresses of the peers that lend no flows.
 	passive []string
-	// attempt counts the attempts outside this instance's zone; it selects the next
-	// address.
-	attempt int
+	// attempt counts the attempts outside this instance's zone since the last stream in contact
+	// with a leader, which was from followed; it selects the next address. start is the random
+	// index of the first one among the other peers.
+	attempt, start int
+	followed       string
 	// returnAt is the time from which to return to this zone's control instance.
 	returnAt time.Time
 	// lost is the number of consecutive streams without an update from this zone's control
@@ -172,6 +174,7 @@
 	switch {
 	case s.hadContact:
 		c.withoutContact = 0
+		c.attempt, c.start, c.followed = 0, rand.Int(), s.addr
 	case s.stateUpdates > 0:
 		c.withoutContact++
 	}
@@ -226,17 +229,26 @@
 
 // chooseAddrs returns the addresses of the control instances to try, in order. Once this
 // instance is ready, that is only one: the one in this zone, or, if there is none or it is
-// to be avoided, one of the others in turn. Before, any will do, whichever answers first.
+// to be avoided, one of the others in turn, and seeds that aren't members last. Before, any
+// will do, whichever answers first.
 func (c *Client) chooseAddrs(avoidOwn bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own := c.ownZoneAddr()
-	others := c.addrsExcept(own)
+	others, n := c.addrsExcept(own)
 	if len(others) == 0 || (own != "" && !avoidOwn && c.Ready()) {
 		return []string{own}
 	}
-	c.attempt++
+	if i := slices.Index(others[:n], c.followed); i >= 0 {
+		others = slices.Concat(others[i+1:n], others[:i+1], others[n:])
+		n--
+	}
+	if n > 0 {
+		first := c.start % n
+		others = slices.Concat(others[first:n], others[:first], others[n:])
+	}
 	first := c.attempt % len(others)
+	c.attempt++
 	if c.Ready() {
 		return others[first : first+1]
 	}
@@ -247,10 +259,9 @@
 	return list
 }
 
-// addrsExcept returns the known addresses of control instances other than the given one.
-// The caller holds mu.
-func (c *Client) addrsExcept(own string) []string {
-	var list []string
+// addrsExcept returns the known addresses of control instances other than the given one: n of peers,
+// and then those of the other seeds, which may have gone. The caller holds mu.
+func (c *Client) addrsExcept(own string) (list []string, n int) {
 	add := func(addr string) {
 		if addr != own && !slices.Contains(list, addr) {
 			list = append(list, addr)
@@ -259,10 +270,11 @@
 	for _, p := range c.peers {
 		add(p.Addr)
 	}
+	n = len(list)
 	for _, seed := range c.seeds {
 		add(seed)
 	}
-	return list
+	return list, n
 }
 
 // inOwnZone reports whether the address is that of the control instance in this zone.
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// TestTriesSeedsLast guards against an entry instance that has no updates for longer than a drain may
+// take, since it tries seeds that have gone before the members.
+func TestTriesSeedsLast(t *testing.T) {
+	peers := []quorum.Peer{{Addr: "a:5", Zone: "a"}, {Addr: "b:5", Zone: "b"}, {Addr: "c:5", Zone: "c"}, {Addr: "d:5", Zone: "d"}}
+	first := map[string]bool{}
+	for range 100 {
+		c, _ := newClient("e", "s:1", "s:2", "s:3")
+		c.setPeers(peers)
+		c.synced.Store(true)
+		c.recordEnd(&session{client: c, addr: "b:5", received: true, stateUpdates: 1, hadContact: true})
+		var list []string
+		for range 7 {
+			list = append(list, c.chooseAddrs(false)...)
+		}
+		require.ElementsMatch(t, []string{"a:5", "c:5", "d:5"}, list[:3])
+		require.Equal(t, []string{"b:5", "s:1", "s:2", "s:3"}, list[3:])
+		first[list[0]] = true
+	}
+	require.Len(t, first, 3, "entry instances spread over the others")
+}
+
 // manualClock is a clock whose time the tests set.
 type manualClock struct{ now time.Time }
 
@@ -172,7 +193,8 @@
 			for _, u := range tt.updates {
 				s.apply(u)
 			}
-			require.ElementsMatch(t, tt.want, c.addrsExcept(""))
+			list, _ := c.addrsExcept("")
+			require.ElementsMatch(t, tt.want, list)
 		})
 	}
 }
