--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -40,6 +40,10 @@
 	// stallThreshold is the time between two ticks above which this process counts
 	// as stalled, rather than the backend servers as silent.
 	stallThreshold = 500 * time.Millisecond
+	// goneAfter is the time after which a member that can't be reached counts as gone, so that
+	// missing reports aren't put down to it. On the platform, a member that has been silent for as
+	// long may lose its place.
+	goneAfter = 12 * time.Second
 	// saveLogInterval is the least time between two log lines about failures to
 	// save the directory.
 	saveLogInterval = 10 * time.Second
@@ -88,6 +92,8 @@
 	services map[string]bool
 	// peersKnown is set once the list of peers has been read for the first time.
 	peersKnown bool
+	// alone is set while this instance is the only member. Its seeds may then have gone for good.
+	alone bool
 }
 
 // Loads are the loads of backend servers, which control instances exchange together with
@@ -262,11 +268,11 @@
 
 // Complete reports whether the directory holds what the other control instances
 // knew when this one started: it has received the whole directory of one of them,
-// or has no peers.
+// or there are no others.
 func (d *Directory) Complete() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.exchanged || (d.peersKnown && len(d.peers) == 0)
+	return d.exchanged || d.alone || (d.peersKnown && len(d.peers) == 0)
 }
 
 // Start runs the directory's goroutines in the group until ctx ends.
@@ -293,8 +299,8 @@
 }
 
 // checkSilence settles contested addresses and marks the backend servers that have not
-// reported in time, the latter not while a member can't be reached. Time in which this process was stalled doesn't
-// count.
+// reported in time, the latter not while a member can't be reached and may not have gone. Time in
+// which this process was stalled doesn't count.
 func (d *Directory) checkSilence() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -302,12 +308,15 @@
 	if stall := now - d.lastTick; d.lastTick != 0 && stall > int64(stallThreshold) {
 		d.cfg.Log.Info().Int64("held-ms", stall/1e6).Msg("process was held up")
 		d.dir.CompensateStall(stall)
+		for _, p := range d.peers {
+			p.reachedAt += stall
+		}
 	}
 	d.lastTick = now
 	if d.dir.Settle(now) {
 		d.notifyChange()
 	}
-	if d.memberUnreachable() {
+	if d.memberUnreachable(now) {
 		// Missing reports may have gone to an instance that can't be reached.
 		return
 	}
@@ -317,11 +326,11 @@
 	}
 }
 
-// memberUnreachable reports whether another member can't be reached. The caller
-// holds mu.
-func (d *Directory) memberUnreachable() bool {
+// memberUnreachable reports whether another member can't be reached, and could be within
+// goneAfter. The caller holds mu.
+func (d *Directory) memberUnreachable(now int64) bool {
 	for _, p := range d.peers {
-		if p.member && !p.reached {
+		if p.member && !p.reached && now-p.reachedAt < int64(goneAfter) {
 			return true
 		}
 	}
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -1,11 +1,14 @@
 package gossip
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/message"
@@ -165,6 +168,32 @@
 	view(t, p.a, "s3")
 }
 
+// TestDirectorySurvivesExchange guards against backend servers that are lost or changed when the only
+// instance that they report to is exchanged, and its successor too.
+func TestDirectorySurvivesExchange(t *testing.T) {
+	p := newPair(t)
+	draining, cold := incarnation("s1", "a", 7), incarnation("s2", "a", 3)
+	draining.Draining, cold.Warmup, cold.StartedAt = true, 10*time.Second, 200
+	p.a.Report(draining)
+	p.a.Report(cold)
+	p.a.Report(incarnation("s3", "a", 1))
+	p.exchange()
+	p.a.Leave("s3", 100)
+	p.exchange()
+	last := newDirectory(p.clock, "c", nil)
+	p.advance(time.Second)
+	next := &pair{t: t, clock: p.clock, a: p.b, b: last, link: &peer{addr: "c", needFull: true, member: true}}
+	next.exchange()
+	require.True(t, last.Complete())
+	for _, d := range []*Directory{p.b, last} {
+		require.True(t, view(t, d, "s1").Draining)
+		require.Equal(t, uint64(7), view(t, d, "s1").Sequence)
+		require.Equal(t, int64(200), view(t, d, "s2").StartedAt)
+		require.Equal(t, 9*time.Second, view(t, d, "s2").Warmup)
+		require.True(t, view(t, d, "s3").Gone)
+	}
+}
+
 // TestDigestMismatchForcesFullExchange checks that a change is received in the end
 // although its message was lost without an error, as with a peer that restarts from
 // an old directory.
@@ -201,6 +230,28 @@
 	require.True(t, view(t, p.a, "s1").Silent)
 }
 
+// TestSilenceAfterMemberHasGone guards against backend servers that never become silent since a
+// member has gone for good and keeps its place in the quorum.
+func TestSilenceAfterMemberHasGone(t *testing.T) {
+	p := newPair(t)
+	p.a.Report(incarnation("s1", "a", 1))
+	p.exchange()
+	wait := func(d time.Duration) {
+		for ; d > 0; d -= 100 * time.Millisecond {
+			p.advance(100 * time.Millisecond)
+			p.failCall()
+			p.a.checkSilence()
+		}
+	}
+	wait(goneAfter - time.Second)
+	require.False(t, view(t, p.a, "s1").Silent)
+	p.advance(time.Minute)
+	wait(time.Second)
+	require.False(t, view(t, p.a, "s1").Silent, "this instance was stalled")
+	wait(time.Second)
+	require.True(t, view(t, p.a, "s1").Silent)
+}
+
 // TestDrainSurvivesRestart kills an instance right after it has acknowledged and
 // saved that a backend server drains, before it has sent that to its peer. After
 // the restart the peer must receive it, even if reports come in the meantime and
@@ -426,16 +477,71 @@
 	require.True(t, alone.Complete())
 }
 
+// TestCompleteWithoutOtherMembers guards against an instance that waits for ever for the directory of
+// seeds that have gone: entry instances that start would never be ready.
+func TestCompleteWithoutOtherMembers(t *testing.T) {
+	self, other := quorum.Peer{Addr: "a:1"}, quorum.Peer{Addr: "b:1"}
+	tests := []struct {
+		name    string
+		members map[quorum.NodeID]quorum.Peer
+		want    bool
+	}{
+		{"not a member yet", nil, false},
+		{"only others are members", map[quorum.NodeID]quorum.Peer{2: other}, false},
+		{"the only member", map[quorum.NodeID]quorum.Peer{1: self}, true},
+		{"one of two members", map[quorum.NodeID]quorum.Peer{1: self, 2: other}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			var g errgroup.Group
+			d := New(Config{
+				Self: self, Clock: &manualClock{now: time.Unix(1000, 0)}, Log: logs.Discard(), Group: &g, SilentAfter: silentAfter,
+				Seeds: func() []string { return []string{"gone:1"} }, Members: func() *quorum.Members { return &quorum.Members{Nodes: tt.members} },
+			})
+			d.refreshPeers(ctx)
+			require.NoError(t, g.Wait())
+			require.Equal(t, tt.want, d.Complete())
+		})
+	}
+}
+
 // fakeLoads are loads in memory.
 type fakeLoads struct {
 	next   *message.LoadShare
+	shared int
 	merged []*message.LoadShare
 }
 
-func (f *fakeLoads) Share(string, string) *message.LoadShare { return f.next }
+func (f *fakeLoads) Share(string, string) *message.LoadShare {
+	f.shared++
+	return f.next
+}
 
 func (f *fakeLoads) Merge(m *message.LoadShare) { f.merged = append(f.merged, m) }
 
+// TestNoMessageForGoneSeed guards against composing the whole directory again and again for a seed
+// that has gone.
+func TestNoMessageForGoneSeed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	var g errgroup.Group
+	d := New(Config{
+		Clock: &manualClock{now: time.Unix(1000, 0)}, Log: logs.Discard(), Group: &g, SilentAfter: silentAfter,
+		Seeds:   func() []string { return []string{l.Addr().String()} },
+		Members: func() *quorum.Members { return &quorum.Members{} },
+	})
+	loads := &fakeLoads{}
+	d.ExchangeLoads(loads)
+	d.refreshPeers(ctx)
+	require.NoError(t, g.Wait())
+	require.Zero(t, loads.shared)
+}
+
 // TestLoadsTravelWithRenewals guards against loads that are sent with every change of the
 // directory or not at all, and against a message with nothing but load that makes the next
 // one repeat the directory.
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -26,7 +26,10 @@
 	member bool
 	// reached is set while calls succeed.
 	reached bool
-	cancel  context.CancelFunc
+	// reachedAt is the time of the last call that succeeded, or from which the peer is known or a
+	// member if that is later.
+	reachedAt int64
+	cancel    context.CancelFunc
 
 	// sentRevision is the revision up to which the peer has received everything.
 	sentRevision uint64
@@ -74,6 +77,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peersKnown = true
+	d.alone = len(members) == 1 && members[d.cfg.Self.Addr]
 	for addr, p := range d.peers {
 		if _, ok := want[addr]; !ok {
 			p.cancel()
@@ -85,6 +89,9 @@
 		if p == nil {
 			p = d.startPeer(ctx, addr)
 		}
+		if members[addr] && !p.member {
+			p.reachedAt = d.now()
+		}
 		p.member = members[addr]
 		if w.Zone != "" {
 			p.zone, p.public = w.Zone, w.Public
@@ -94,7 +101,7 @@
 
 func (d *Directory) startPeer(ctx context.Context, addr string) *peer {
 	ctx, cancel := context.WithCancel(ctx)
-	p := &peer{addr: addr, cancel: cancel, needFull: true}
+	p := &peer{addr: addr, cancel: cancel, needFull: true, reachedAt: d.now()}
 	d.peers[addr] = p
 	d.cfg.Group.Go(func() error { return d.exchange(ctx, p) })
 	return p
@@ -107,9 +114,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		g, revision, changed := d.nextMessage(p)
-		if g != nil {
-			d.recordResult(p, revision, d.call(ctx, client, p, g))
+		changed, err := d.connect(ctx, client, p)
+		if err == nil {
+			changed = d.send(ctx, client, p)
 		}
 		timer.Reset(renewalInterval)
 		select {
@@ -122,6 +129,32 @@
 	return nil
 }
 
+// connect connects to a peer that the last call didn't reach, so that no message is composed for one
+// that has gone. It returns a channel that is closed at the next change.
+func (d *Directory) connect(ctx context.Context, client *rpc.Client, p *peer) (<-chan struct{}, error) {
+	d.mu.Lock()
+	reached, changed := p.reached, d.changed
+	d.mu.Unlock()
+	if reached {
+		return changed, nil
+	}
+	err := client.Call(ctx, "gossip", callTimeout, func(context.Context, drpc.Conn) error { return nil })
+	if err != nil {
+		d.recordResult(p, 0, err)
+	}
+	return changed, err
+}
+
+// send sends the next message to a peer, if any. It returns a channel that is closed at the next
+// change.
+func (d *Directory) send(ctx context.Context, client *rpc.Client, p *peer) <-chan struct{} {
+	g, revision, changed := d.nextMessage(p)
+	if g != nil {
+		d.recordResult(p, revision, d.call(ctx, client, p, g))
+	}
+	return changed
+}
+
 // nextMessage returns the next message to a peer, with the load if that is due, or nil if
 // there is nothing to send, and the other results of composeMessage.
 func (d *Directory) nextMessage(p *peer) (*message.Gossip, uint64, <-chan struct{}) {
@@ -229,7 +262,7 @@
 		if !p.reached {
 			d.cfg.Log.Info().Str("peer", p.addr).Str("zone", p.zone).Msg("control instance reached")
 		}
-		p.reached = true
+		p.reached, p.reachedAt = true, d.now()
 		return
 	}
 	p.needFull = true
--- a/entry/follow/client.go
+++ b/entry/follow/client.go
@@ -47,6 +47,10 @@
 	// stream from another control instance is closed to return to this zone's. One that
 	// has stalled must not be retried every second.
 	returnDelay = 5 * time.Second
+	// maxReturnDelay limits the delay, which doubles with each stream from this zone without an
+	// update: an instance that has gone may stay a member, and one that is back must lend flows
+	// on this zone's cold backend servers before long.
+	maxReturnDelay = 4 * returnDelay
 	// minReturnDelay is the least delay after this instance has become ready. It is random
 	// up to returnDelay, since many instances become ready together.
 	minReturnDelay = time.Second
@@ -59,6 +63,9 @@
 	streamTimeout = 24 * time.Hour
 )
 
+// maxDoublings is above the number after which every delay that doubles has reached its limit.
+const maxDoublings = 10
+
 // Client follows one control instance at a time and passes its updates to the
 // token engine.
 type Client struct {
@@ -75,11 +82,20 @@
 	mu    sync.Mutex
 	seeds []string
 	peers []quorum.Peer
-	// attempt counts the attempts outside this instance's zone; it selects the next
-	// address.
-	attempt int
+	// passive holds the addresses of the peers that lend no flows.
+	passive []string
+	// attempt counts the attempts outside this instance's zone since the last stream in contact
+	// with a leader, which was from followed; it selects the next address. start is the random
+	// index of the first one among the other peers.
+	attempt, start int
+	followed       string
 	// returnAt is the time from which to return to this zone's control instance.
 	returnAt time.Time
+	// lost is the number of consecutive streams without an update from this zone's control
+	// instance at lostAddr, and retryAt the time from which to return to it.
+	lost     int
+	lostAddr string
+	retryAt  time.Time
 	// resume is the point that the last stream reached; resumeAddr is the address of
 	// that stream's control instance.
 	resume     message.ResumePoint
@@ -130,9 +146,7 @@
 		err := s.run(ctx)
 		c.control.Store(nil)
 		c.recordEnd(s)
-		if own = c.inOwnZone(cmp.Or(s.addr, s.addrs[0])); own {
-			c.delayReturn(returnDelay)
-		}
+		own = c.recordOwnEnd(s)
 		if s.stateUpdates > 0 {
 			backoff = minBackoff
 		}
@@ -160,6 +174,7 @@
 	switch {
 	case s.hadContact:
 		c.withoutContact = 0
+		c.attempt, c.start, c.followed = 0, rand.Int(), s.addr
 	case s.stateUpdates > 0:
 		c.withoutContact++
 	}
@@ -184,7 +199,6 @@
 func (c *Client) firstContactTimeout() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	const maxDoublings = 10
 	rounds := c.withoutContact / max(1, 2*(len(c.peers)+len(c.seeds)))
 	return min(minFirstContactTimeout<<min(rounds, maxDoublings), maxFirstContactTimeout)
 }
@@ -215,17 +229,26 @@
 
 // chooseAddrs returns the addresses of the control instances to try, in order. Once this
 // instance is ready, that is only one: the one in this zone, or, if there is none or it is
-// to be avoided, one of the others in turn. Before, any will do, whichever answers first.
+// to be avoided, one of the others in turn, and seeds that aren't members last. Before, any
+// will do, whichever answers first.
 func (c *Client) chooseAddrs(avoidOwn bool) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own := c.ownZoneAddr()
-	others := c.addrsExcept(own)
+	others, n := c.addrsExcept(own)
 	if len(others) == 0 || (own != "" && !avoidOwn && c.Ready()) {
 		return []string{own}
 	}
-	c.attempt++
+	if i := slices.Index(others[:n], c.followed); i >= 0 {
+		others = slices.Concat(others[i+1:n], others[:i+1], others[n:])
+		n--
+	}
+	if n > 0 {
+		first := c.start % n
+		others = slices.Concat(others[first:n], others[:first], others[n:])
+	}
 	first := c.attempt % len(others)
+	c.attempt++
 	if c.Ready() {
 		return others[first : first+1]
 	}
@@ -236,10 +259,9 @@
 	return list
 }
 
-// addrsExcept returns the known addresses of control instances other than the given one.
-// The caller holds mu.
-func (c *Client) addrsExcept(own string) []string {
-	var list []string
+// addrsExcept returns the known addresses of control instances other than the given one: n of peers,
+// and then those of the other seeds, which may have gone. The caller holds mu.
+func (c *Client) addrsExcept(own string) (list []string, n int) {
 	add := func(addr string) {
 		if addr != own && !slices.Contains(list, addr) {
 			list = append(list, addr)
@@ -248,10 +270,11 @@
 	for _, p := range c.peers {
 		add(p.Addr)
 	}
+	n = len(list)
 	for _, seed := range c.seeds {
 		add(seed)
 	}
-	return list
+	return list, n
 }
 
 // inOwnZone reports whether the address is that of the control instance in this zone.
@@ -262,27 +285,56 @@
 }
 
 // ownZoneAddr returns the address of the first control instance in this zone by name, or an
-// empty string. That is the one that lends flows on the zone's cold backend servers. The
-// caller holds mu.
+// empty string. That is the one that lends flows on the zone's cold backend servers; those that lend
+// none come last. The caller holds mu.
 func (c *Client) ownZoneAddr() string {
-	name, addr := "", ""
-	for _, p := range c.peers {
-		if p.Zone == string(c.zone) && (addr == "" || p.Name < name) {
-			name, addr = p.Name, p.Addr
+	var own *quorum.Peer
+	for i := range c.peers {
+		if p := &c.peers[i]; p.Zone == string(c.zone) && (own == nil || c.precedes(p, own)) {
+			own = p
 		}
 	}
-	return addr
+	if own == nil {
+		return ""
+	}
+	return own.Addr
 }
 
-func (c *Client) setPeers(peers []quorum.Peer) {
-	if len(peers) == 0 {
-		return
+// precedes reports whether to follow p rather than q. The caller holds mu.
+func (c *Client) precedes(p, q *quorum.Peer) bool {
+	if passive := slices.Contains(c.passive, p.Addr); passive != slices.Contains(c.passive, q.Addr) {
+		return !passive
 	}
+	return p.Name < q.Name
+}
+
+// setPeers replaces the known control instances.
+func (c *Client) setPeers(peers []quorum.Peer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.peers = peers
 }
 
+// setPassive replaces the addresses of the control instances that lend no flows.
+func (c *Client) setPassive(list []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.passive = list
+}
+
+// addPeers adds control instances at addresses that aren't known yet.
+func (c *Client) addPeers(peers []quorum.Peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := slices.Clone(c.peers)
+	for _, p := range peers {
+		if !slices.ContainsFunc(list, func(q quorum.Peer) bool { return q.Addr == p.Addr }) {
+			list = append(list, p)
+		}
+	}
+	c.peers = list
+}
+
 // delayReturn sets the time before which not to return to this zone's control instance.
 func (c *Client) delayReturn(d time.Duration) {
 	c.mu.Lock()
@@ -290,6 +342,28 @@
 	c.returnAt = c.clock.Now().Add(d)
 }
 
+// recordOwnEnd reports whether a stream was one from this zone's control instance, and if so sets the
+// time before which not to return to it.
+func (c *Client) recordOwnEnd(s *session) bool {
+	addr := cmp.Or(s.addr, s.addrs[0])
+	if !c.inOwnZone(addr) {
+		return false
+	}
+	c.delayReturn(returnDelay)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.received || addr != c.lostAddr {
+		c.lost = 0
+	}
+	c.lostAddr, c.retryAt = addr, c.returnAt
+	if s.received {
+		return true
+	}
+	c.retryAt = c.clock.Now().Add(min(returnDelay<<min(c.lost, maxDoublings), maxReturnDelay))
+	c.lost++
+	return true
+}
+
 // shouldReturn reports whether to switch from the address to this zone's control
 // instance: it is another one, this instance is ready, since another stream would begin
 // with the whole directory again, and the delay is over.
@@ -297,5 +371,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	own := c.ownZoneAddr()
-	return c.Ready() && own != "" && own != addr && c.clock.Now().After(c.returnAt)
+	now := c.clock.Now()
+	return c.Ready() && own != "" && own != addr && now.After(c.returnAt) && (own != c.lostAddr || now.After(c.retryAt))
 }
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -72,6 +72,42 @@
 	}
 }
 
+// TestFollowsLender guards against following a control instance of the own zone that lends no flows,
+// beside the one that does.
+func TestFollowsLender(t *testing.T) {
+	peers := []quorum.Peer{{Name: "a-1", Addr: "a:1", Zone: "a"}, {Name: "a-2", Addr: "a:2", Zone: "a"}, {Name: "a-3", Addr: "a:3", Zone: "a"}}
+	tests := []struct {
+		passive []string
+		want    string
+	}{{nil, "a:1"}, {[]string{"a:1"}, "a:2"}, {[]string{"a:1", "a:2", "a:3"}, "a:1"}}
+	for _, tt := range tests {
+		c, _ := newClient("a", "s:1")
+		(&session{client: c}).apply(&message.FollowUpdate{State: true, Current: true, Peers: peers, Passive: tt.passive})
+		require.Equal(t, tt.want, c.ownZoneAddr(), tt.passive)
+	}
+}
+
+// TestTriesSeedsLast guards against an entry instance that has no updates for longer than a drain may
+// take, since it tries seeds that have gone before the members.
+func TestTriesSeedsLast(t *testing.T) {
+	peers := []quorum.Peer{{Addr: "a:5", Zone: "a"}, {Addr: "b:5", Zone: "b"}, {Addr: "c:5", Zone: "c"}, {Addr: "d:5", Zone: "d"}}
+	first := map[string]bool{}
+	for range 100 {
+		c, _ := newClient("e", "s:1", "s:2", "s:3")
+		c.setPeers(peers)
+		c.synced.Store(true)
+		c.recordEnd(&session{client: c, addr: "b:5", received: true, stateUpdates: 1, hadContact: true})
+		var list []string
+		for range 7 {
+			list = append(list, c.chooseAddrs(false)...)
+		}
+		require.ElementsMatch(t, []string{"a:5", "c:5", "d:5"}, list[:3])
+		require.Equal(t, []string{"b:5", "s:1", "s:2", "s:3"}, list[3:])
+		first[list[0]] = true
+	}
+	require.Len(t, first, 3, "entry instances spread over the others")
+}
+
 // manualClock is a clock whose time the tests set.
 type manualClock struct{ now time.Time }
 
@@ -99,6 +135,70 @@
 	}
 }
 
+// TestReturnsLessOftenToGoneInstance guards against giving up a working stream every 5 s for a
+// control instance of the own zone that has gone and is still a member.
+func TestReturnsLessOftenToGoneInstance(t *testing.T) {
+	clk := &manualClock{now: time.Unix(1000, 0)}
+	c, _ := newClient("a", "s:1")
+	c.clock = clk
+	c.synced.Store(true)
+	gone := []quorum.Peer{{Name: "a-1", Addr: "a:1", Zone: "a"}, {Addr: "b:1", Zone: "b"}}
+	next := []quorum.Peer{{Name: "a-5", Addr: "a:5", Zone: "a"}, {Addr: "b:1", Zone: "b"}}
+	tests := []struct {
+		name     string
+		peers    []quorum.Peer
+		received bool
+		want     time.Duration
+	}{
+		{"first failure", gone, false, returnDelay},
+		{"second failure", gone, false, 2 * returnDelay},
+		{"third failure", gone, false, 4 * returnDelay},
+		{"further failure", gone, false, maxReturnDelay},
+		{"it is back", gone, true, returnDelay},
+		{"lost again", gone, false, returnDelay},
+		{"lost for longer", gone, false, 2 * returnDelay},
+		{"its successor", next, false, returnDelay},
+	}
+	for _, tt := range tests {
+		c.setPeers(tt.peers)
+		require.True(t, c.recordOwnEnd(&session{addrs: []string{c.ownZoneAddr()}, received: tt.received}), tt.name)
+		require.False(t, c.recordOwnEnd(&session{addrs: []string{"b:1"}, received: true}), tt.name)
+		after := time.Duration(0)
+		for ; !c.shouldReturn("b:1"); after += time.Second {
+			clk.now = clk.now.Add(time.Second)
+		}
+		require.Equal(t, tt.want+time.Second, after, tt.name)
+	}
+}
+
+// TestKeepsPeersOfStaleInstance guards against an entry instance that can reach nobody any more
+// because a control instance that was removed told it the members of the past.
+func TestKeepsPeersOfStaleInstance(t *testing.T) {
+	past := []quorum.Peer{{Addr: "a:1", Zone: "a"}, {Addr: "b:1", Zone: "b"}}
+	now := []quorum.Peer{{Addr: "a:5", Zone: "a"}, {Addr: "b:5", Zone: "b"}}
+	tests := []struct {
+		name    string
+		updates []*message.FollowUpdate
+		want    []string
+	}{
+		{"from an instance out of contact", []*message.FollowUpdate{{State: true, Peers: past}}, []string{"a:5", "b:5", "a:1", "b:1", "s:1"}},
+		{"from one in contact", []*message.FollowUpdate{{State: true, Current: true, Peers: past}}, []string{"a:1", "b:1", "s:1"}},
+		{"in contact later", []*message.FollowUpdate{{State: true, Peers: past}, {State: true, Current: true}}, []string{"a:1", "b:1", "s:1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c, _ := newClient("a", "s:1")
+			c.setPeers(now)
+			s := &session{client: c, addr: "s:1"}
+			for _, u := range tt.updates {
+				s.apply(u)
+			}
+			list, _ := c.addrsExcept("")
+			require.ElementsMatch(t, tt.want, list)
+		})
+	}
+}
+
 // TestContactTimeouts checks how long a control instance out of contact is followed.
 // One that loses contact and then three that never had it must together take less
 // than the limit of 3 s on a change.
