membership: test stops of all instances while halves are cut off

Cause: the property counted a planned stop as settled after 2 s with a leader, even if half of the instances were cut off from it, which may keep a leader from taking the vote. And no table test had a cut beside planned stops: voters that were told to stop may fill the places that silence must leave to the others.

--- a/coordination/membership/group_test.go
+++ b/coordination/membership/group_test.go
@@ -25,7 +25,8 @@
 	outOfContact = 2 * time.Second
 	// grace is the time for which an instance that is told to stop asks to leave.
 	grace = 5 * time.Second
-	// leaveTime is the time with a leader in which every planned stop must be settled.
+	// leaveTime is the time with a leader, and all instances reachable, in which a planned stop
+	// must be settled.
 	leaveTime = 2 * time.Second
 	// restartTime is the time from the end of an instance to its next start.
 	restartTime = 300 * time.Millisecond
@@ -65,7 +66,7 @@
 // stopping is the state of an instance that was told to stop.
 type stopping struct {
 	until time.Duration
-	// asked is the time during which a leader was asked.
+	// asked is the time during which a leader was asked and all instances were reachable.
 	asked time.Duration
 	// ended is called once the instance is down; settled tells whether a leader had its time
 	// to take the vote from it.
@@ -270,7 +271,9 @@
 		}
 		left := in.node.MembersIndex() <= in.node.CommitIndex() && !in.node.Members().Voter(in.id)
 		if !left && lead != nil && !lead.down && in.cut == lead.cut {
-			s.asked += tick
+			if g.allReachable() {
+				s.asked += tick
+			}
 			left = g.leave(lead, in)
 		}
 		if left || g.now >= s.until {
@@ -341,8 +344,8 @@
 	g.beginStop(in, func(bool) { in.startAt = g.now + restartTime })
 }
 
-// beginRemoval tells an instance, whose successor has had its time, to stop for good. If there is no
-// leader to ask, it starts again instead.
+// beginRemoval tells an instance, whose successor has had its time, to stop for good. If it can't be
+// settled what becomes of its vote, it starts again instead.
 func (g *group) beginRemoval(in *instance) {
 	g.beginStop(in, func(settled bool) {
 		if settled {
