membership: let further instances join in time in the property test

Cause: one step of a join was taken each 200 ms, for all instances together, whereas an instance repeats its request while steps are left. Sixteen further instances weren't voters within their 4 s, and the property failed for that alone.

Change: further instances ask in each tick until they have had their time.

TestAcknowledgedValuesSurvive passes.

--- a/coordination/membership/group_test.go
+++ b/coordination/membership/group_test.go
@@ -223,11 +223,10 @@
 	if _, next := g.policy.Evict(lead.node); next != nil {
 		g.propose(lead, next)
 	}
-	if g.now%joinInterval != 0 {
-		return
-	}
 	for _, in := range g.instances {
-		if in.down || in.cut != lead.cut || in.stopping != nil {
+		// A further instance repeats its request at once while steps are left.
+		due := g.now%joinInterval == 0 || in.spare
+		if !due || in.down || in.cut != lead.cut || in.stopping != nil {
 			continue
 		}
 		inContact := int64(g.now)-in.node.Synced() < int64(outOfContact)
