quorum: test a leader that ends with its removal uncommitted

Cause: the leader of four proposes its removal and ends before that is sent. A node that has no vote in its own log doesn't campaign. The others need its vote if one more is lost, and don't get it, since its log is the longest.

Change: a test, found by TestAcknowledgedValuesSurviveExchanges.

--- a/coordination/quorum/members_test.go
+++ b/coordination/quorum/members_test.go
@@ -104,3 +104,29 @@
 		})
 	}
 }
+
+// TestLeaderEndsWithItsRemovalUncommitted guards against a group without a leader after one ended
+// between the proposal to remove it and its commit: it has the longest log, so that the others need
+// its vote and don't get it, and doesn't campaign, since it has no vote in its own log.
+func TestLeaderEndsWithItsRemovalUncommitted(t *testing.T) {
+	g := newTestGroupWithTiming(t, 4, 1, 0, noLease)
+	g.run(3 * time.Second)
+	old := g.leader()
+	lost := g.members[old.id%4+1]
+	next := old.node.Members()
+	delete(next.Nodes, old.id)
+	require.NoError(t, old.node.ChangeMembers(next))
+	g.processReady(old)
+	g.inFlight = nil
+	for _, id := range g.order {
+		g.members[id].down = true
+	}
+	for _, id := range g.order {
+		if id != lost.id {
+			g.start(g.members[id])
+		}
+	}
+	g.run(4 * time.Second)
+	require.NotNil(t, g.leader())
+	require.False(t, g.leader().node.Members().Voter(old.id))
+}
