membership: don't count voters that are about to stop as ones that last

Callers would see no leader for good: stale votes were left when several instances were told to stop while others were cut off, or had just lost their disks.

Cause: voters marked as stopping counted towards the 2f + 1 that eviction and stops leave. So silence took votes down to 2f + 1, of which two then ended; and of 20 voters eight that waited ended in the same moment, since each saw a majority with the others.

Change: marked voters don't count as lasting; one that no longer answers loses its vote at once while 2f + 1 others last. A stop at the floor ends only if no learner is joining, no voter's silence is undecided, and a majority answers without the instances that go before it.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -50,24 +50,16 @@
 	return 2*p.Tolerated + 1
 }
 
-// spare reports whether the quorum bears the tolerated losses without the vote of the instance.
+// spare reports whether the quorum bears the tolerated losses without the vote of the instance,
+// and without those that may be lost at any time.
 func (p Policy) spare(m *quorum.Members, id quorum.NodeID) bool {
-	lasting := lastingVoters(m)
-	if m.Voter(id) && !m.Nodes[id].Expendable {
-		lasting--
-	}
-	return lasting >= p.minVoters()
-}
-
-// lastingVoters returns the number of voters that aren't expendable.
-func lastingVoters(m *quorum.Members) int {
-	n := 0
-	for id, peer := range m.Nodes {
-		if m.Voter(id) && !peer.Expendable {
-			n++
+	lasting := 0
+	for other, peer := range m.Nodes {
+		if other != id && m.Voter(other) && !m.Stopping[other] && !peer.Expendable {
+			lasting++
 		}
 	}
-	return n
+	return lasting >= p.minVoters()
 }
 
 // Join returns the members to propose as the next step towards a vote for an instance, or
@@ -189,7 +181,8 @@
 // Leave returns the members to propose as the next step of an instance that is told to stop, or
 // nil if none can be proposed yet. It gives up its vote if enough others are left, or passes it
 // to a learner. Otherwise it is marked, so that the next learner takes its place. It joins again
-// if it comes back. done is set once the outcome is committed and nothing is left to do.
+// if it comes back. done is set once the outcome is committed and nothing is left to wait for, such
+// as a voter that may be silent for good, or a learner that may take a place.
 func (p Policy) Leave(n *quorum.Node, id quorum.NodeID) (next *quorum.Members, done bool) {
 	if p.EvictAfter <= 0 {
 		return nil, true
@@ -198,20 +191,48 @@
 	if _, member := m.Nodes[id]; !member {
 		return nil, n.MembersIndex() <= n.CommitIndex()
 	}
-	wait := m.Voter(id) && p.spare(m, id)
-	if !m.Voter(id) || wait && p.tolerant(n, m.Without(id)) {
+	if !m.Voter(id) {
 		return m.Without(id), false
 	}
-	if !wait {
-		var heir quorum.NodeID
-		if heir, wait = successor(n, m, id); heir != 0 {
-			return promote(m, heir, id), false
-		}
+	spare := p.spare(m, id)
+	if spare && p.tolerant(n, m.Without(id)) {
+		return m.Without(id), false
+	}
+	if heir := successor(n, m, id); heir != 0 && !spare {
+		return promote(m, heir, id), false
 	}
 	if !m.Stopping[id] {
 		return m.WithStopping(id, true), false
 	}
-	return nil, !wait && n.MembersIndex() <= n.CommitIndex()
+	committed := n.MembersIndex() <= n.CommitIndex()
+	return nil, committed && !spare && settled(n, m) && majorityWithout(n, m, id)
+}
+
+// settled reports whether nothing is under way that would give or take votes soon: no learner is
+// about to become a voter, and no voter may stay silent.
+func settled(n *quorum.Node, m *quorum.Members) bool {
+	for id, peer := range m.Nodes {
+		responding := n.Responding(id, respondWithin)
+		joining := m.Learners[id] && !peer.Expendable && responding
+		undecided := m.Voter(id) && !m.Stopping[id] && !responding && n.SinceLastContact(id) < int64(replaceAfter)
+		if joining || undecided {
+			return false
+		}
+	}
+	return true
+}
+
+// majorityWithout reports whether a majority of the voters answers without the instance. Of several
+// that are told to stop at the same time, those with lower identifiers go first.
+func majorityWithout(n *quorum.Node, m *quorum.Members, id quorum.NodeID) bool {
+	answering := 0
+	for other := range m.Nodes {
+		first := m.Stopping[other] && other < id
+		if m.Voter(other) && other != id && !first && n.Responding(other, respondWithin) {
+			answering++
+		}
+	}
+	return answering > m.Voters()/2
 }
 
 // tolerant reports whether a quorum of the members survives the loss of the tolerated number of
@@ -234,18 +255,15 @@
 
 // successor returns a learner that has caught up and may take the place of a voter that is told to
 // stop, or zero if there is none. A learner that may be the successor of another voter, which fell
-// silent before the learner was added, isn't one. wait is set if a learner is about to catch up.
-func successor(n *quorum.Node, m *quorum.Members, leaving quorum.NodeID) (id quorum.NodeID, wait bool) {
+// silent before the learner was added, isn't one.
+func successor(n *quorum.Node, m *quorum.Members, leaving quorum.NodeID) quorum.NodeID {
 	for _, id := range sortedNodes(m) {
-		if !m.Learners[id] || m.Nodes[id].Expendable || !n.Responding(id, respondWithin) || succeedsSilent(n, m, id, leaving) {
-			continue
-		}
-		if caughtUp(n, id) {
-			return id, false
+		ready := m.Learners[id] && n.Responding(id, respondWithin) && caughtUp(n, id)
+		if ready && !m.Nodes[id].Expendable && !succeedsSilent(n, m, id, leaving) {
+			return id
 		}
-		wait = true
 	}
-	return 0, wait
+	return 0
 }
 
 // succeedsSilent reports whether a voter other than the one that leaves fell silent before the
@@ -260,12 +278,12 @@
 	return false
 }
 
-// Evict returns a member to remove because it has been silent, and the members without it,
-// or nil if there is none. A voter is removed only if, counting those that don't answer as lost,
-// the quorum would not survive a further removal and the loss of the tolerated number of disks,
-// and only while there are enough voters without it. So an acknowledgement always stands for more
-// copies than disks may be lost, however long an outage lasts, and instances that never come back
-// don't lower the tolerance for good.
+// Evict returns a member to remove because it is silent, and the members without it, or nil if
+// there is none. A voter is removed only while there are enough voters without it: at once if it was
+// told to stop; else if it has been silent for EvictAfter, and if, counting those that don't answer as
+// lost, the quorum would not survive a further removal and the loss of the tolerated number of disks.
+// So an acknowledgement always stands for more copies than disks may be lost, however long an outage
+// lasts, and instances that never come back don't lower the tolerance for good.
 func (p Policy) Evict(n *quorum.Node) (id quorum.NodeID, next *quorum.Members) {
 	if p.EvictAfter <= 0 {
 		return 0, nil
@@ -275,13 +293,11 @@
 	for _, id := range sortedNodes(m) {
 		silence := n.SinceLastContact(id)
 		silent := id != n.ID() && silence >= int64(p.EvictAfter)
-		if !m.Voter(id) {
-			if silent {
-				return id, m.Without(id)
-			}
-			continue
-		}
-		if silent && p.spare(m, id) && silence > n.SinceLastContact(oldest) {
+		stopped := m.Stopping[id] && !n.Responding(id, respondWithin)
+		switch {
+		case !m.Voter(id) && silent, stopped && p.spare(m, id):
+			return id, m.Without(id)
+		case m.Voter(id) && silent && p.spare(m, id) && silence > n.SinceLastContact(oldest):
 			oldest = id
 		}
 	}
