gossip: hold silence back for a member that lost its vote while it was cut off

Cause: a member that is cut off loses its vote after 3 s now, not after 12 s. From then on the backend servers that report to it counted as silent here, although it may run. Change: a peer that couldn't be reached when it lost its place counts as a member for 12 s. One that gave its place up was reached, and holds nothing back. Result: TestNoSilenceWhileEvictedMemberMayRun fails without the change in the first case.

--- a/control/gossip/gossip.go
+++ b/control/gossip/gossip.go
@@ -41,8 +41,8 @@
 	// as stalled, rather than the backend servers as silent.
 	stallThreshold = 500 * time.Millisecond
 	// goneAfter is the time after which a member that can't be reached counts as gone, so that
-	// missing reports aren't put down to it. On the platform, a member that has been silent for as
-	// long may lose its place.
+	// missing reports aren't put down to it. It is longer than the outages that an instance
+	// recovers from by itself, such as a freeze or a partition of a few seconds.
 	goneAfter = 12 * time.Second
 	// saveLogInterval is the least time between two log lines about failures to
 	// save the directory.
@@ -330,7 +330,7 @@
 // goneAfter. The caller holds mu.
 func (d *Directory) memberUnreachable(now int64) bool {
 	for _, p := range d.peers {
-		if p.member && !p.reached && now-p.reachedAt < int64(goneAfter) {
+		if p.mayRun(now) {
 			return true
 		}
 	}
--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -252,6 +252,41 @@
 	require.True(t, view(t, p.a, "s1").Silent)
 }
 
+// TestNoSilenceWhileEvictedMemberMayRun guards against backend servers that count as silent because
+// the instance that they report to is cut off and has lost its vote meanwhile.
+func TestNoSilenceWhileEvictedMemberMayRun(t *testing.T) {
+	tests := []struct {
+		name   string
+		lost   bool
+		silent bool
+	}{
+		{"cut off before it lost its place", true, false},
+		{"gave up its place", false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPair(t)
+			p.a.cfg.Seeds = func() []string { return nil }
+			p.a.cfg.Members = func() *quorum.Members { return &quorum.Members{} }
+			p.link.cancel = func() {}
+			p.a.Report(incarnation("s1", "a", 1))
+			p.exchange()
+			if tt.lost {
+				p.failCall()
+			}
+			p.a.refreshPeers(t.Context())
+			for range 80 {
+				p.advance(100 * time.Millisecond)
+				p.a.checkSilence()
+			}
+			require.Equal(t, tt.silent, view(t, p.a, "s1").Silent)
+			p.advance(goneAfter)
+			p.a.refreshPeers(t.Context())
+			require.Empty(t, p.a.peers)
+		})
+	}
+}
+
 // TestDrainSurvivesRestart kills an instance right after it has acknowledged and
 // saved that a backend server drains, before it has sent that to its peer. After
 // the restart the peer must receive it, even if reports come in the meantime and
--- a/control/gossip/peer.go
+++ b/control/gossip/peer.go
@@ -78,8 +78,9 @@
 	defer d.mu.Unlock()
 	d.peersKnown = true
 	d.alone = len(members) == 1 && members[d.cfg.Self.Addr]
+	now := d.now()
 	for addr, p := range d.peers {
-		if _, ok := want[addr]; !ok {
+		if _, ok := want[addr]; !ok && !p.mayRun(now) {
 			p.cancel()
 			delete(d.peers, addr)
 		}
@@ -90,15 +91,21 @@
 			p = d.startPeer(ctx, addr)
 		}
 		if members[addr] && !p.member {
-			p.reachedAt = d.now()
+			p.reachedAt = now
 		}
-		p.member = members[addr]
+		p.member = members[addr] || p.mayRun(now)
 		if w.Zone != "" {
 			p.zone, p.public = w.Zone, w.Public
 		}
 	}
 }
 
+// mayRun reports whether a member can't be reached, and could be within goneAfter. It may take
+// reports, also once it has lost its place among the members.
+func (p *peer) mayRun(now int64) bool {
+	return p.member && !p.reached && now-p.reachedAt < int64(goneAfter)
+}
+
 func (d *Directory) startPeer(ctx context.Context, addr string) *peer {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &peer{addr: addr, cancel: cancel, needFull: true, reachedAt: d.now()}
