warmup: let no voter lend that was told to stop

Cause: the lender for a zone is its first voter by name, also one that was told to stop and had to keep its vote. After its end nobody lent for the zone's cold backend servers. Change: marked voters don't lend, and entry instances follow another one of the zone. Result: TestStoppingVoterLendsNothing.

--- a/coordination/warmup/lender.go
+++ b/coordination/warmup/lender.go
@@ -46,11 +46,11 @@
 	Zone catkinrail.Zone
 }
 
-// Voters returns the control instances that may lend flows, by name. Entry instances follow the first
-// one of their zone.
+// Voters returns the control instances that may lend flows, by name: those with a vote, but for the
+// ones that were told to stop. Entry instances follow the first one of their zone.
 func Voters(m *quorum.Members) (list []Voter) {
 	for id, peer := range m.Nodes {
-		if m.Voter(id) {
+		if m.Voter(id) && !m.Stopping[id] {
 			list = append(list, Voter{Name: peer.Name, Addr: peer.Addr, Zone: catkinrail.Zone(peer.Zone)})
 		}
 	}
--- a/coordination/warmup/warmup_test.go
+++ b/coordination/warmup/warmup_test.go
@@ -11,6 +11,7 @@
 
 	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/coordination/message"
+	"catkinrail.example/catkinrail/coordination/quorum"
 	"catkinrail.example/catkinrail/coordination/warmup"
 )
 
@@ -89,6 +90,16 @@
 	require.Positive(t, flows)
 }
 
+// TestStoppingVoterLendsNothing guards against a zone for which nobody lends, since its lender was told
+// to stop and had to keep its vote.
+func TestStoppingVoterLendsNothing(t *testing.T) {
+	m := &quorum.Members{
+		Nodes:    map[quorum.NodeID]quorum.Peer{1: {Name: "c1", Zone: "a"}, 2: {Name: "c2", Zone: "a"}, 3: {Name: "c3", Zone: "a"}},
+		Learners: map[quorum.NodeID]bool{3: true}, Stopping: map[quorum.NodeID]bool{1: true},
+	}
+	require.Equal(t, []warmup.Voter{{Name: "c2", Zone: "a"}}, warmup.Voters(m))
+}
+
 // TestExtremeRates guards against rates of a valid document that leave no whole nanosecond between
 // two packets, or more than fit: both ended the instance or lent without a limit.
 func TestExtremeRates(t *testing.T) {
