quorum: let a node campaign until its own removal is committed

Callers would see no leader after a leader ended between the proposal of its own removal and its commit, and another instance was lost: the first has the longest log, so the others need its vote and don't get it, and it didn't campaign. Cause: a node without a vote in its own log never campaigned. Raft lets it, since the entry may not be committed, and counts no vote of its own. Change: a node that had a vote before the last, uncommitted members campaigns.

--- a/coordination/quorum/node.go
+++ b/coordination/quorum/node.go
@@ -263,11 +263,21 @@
 		n.tickLeader()
 		return
 	}
-	if n.now >= n.deadline && n.members.Voter(n.id) {
+	if n.now >= n.deadline && n.electable() {
 		n.campaign(PreCandidate)
 	}
 }
 
+// electable reports whether the node may campaign: if it has a vote, or had one until a removal that
+// may not be committed. Its log may then be the longest, so that no other node can be elected.
+func (n *Node) electable() bool {
+	if n.members.Voter(n.id) || n.membersIndex <= n.log.commit {
+		return n.members.Voter(n.id)
+	}
+	before, _ := n.membersUpTo(n.membersIndex - 1)
+	return before.Voter(n.id)
+}
+
 func (n *Node) tickLeader() {
 	if n.now >= n.nextHeartbeat {
 		n.nextHeartbeat = n.now + int64(n.timing.HeartbeatInterval)
