soak: exchange control instances and end with a lost disk

An operator's order to evacuate had no time limit: without a leader, the soak waited for ever.

Change: one to three new control instances start beside the old ones, which get SIGTERM for good 4 s later. The callers' list of control instances is read from a file before each call. The proxy picks among the instances that have connections. Every third seed ends with a lost disk and the power loss of all instances, right after an acknowledgement; the document must then be read back, and another one get in force within 12 s and 3 s. Orders to evacuate are bounded like changes. Checks stay as they are. What a seed draws changes, since there is one more fault.

--- a/emulator/cmd/catkinrail-emulator/platform_documents.go
+++ b/emulator/cmd/catkinrail-emulator/platform_documents.go
@@ -32,9 +32,8 @@
 			}
 			m.processes[name] = pid
 		}
-		for _, ip := range *controls {
-			m.op.Control = append(m.op.Control, fmt.Sprintf("%s:%d", ip, standin.ControlPort))
-		}
+		addrs := controlAddrs(*controls)
+		m.op.Control = func() []string { return addrs }
 		return m.run(ctx, *routes, *versions, *interval)
 	}}
 }
--- a/emulator/cmd/catkinrail-emulator/platform_run.go
+++ b/emulator/cmd/catkinrail-emulator/platform_run.go
@@ -6,13 +6,16 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"os"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"golang.org/x/sync/errgroup"
 
+	"catkinrail.example/catkinrail"
 	"catkinrail.example/catkinrail/platform/standin"
 	"catkinrail.example/catkinrail/transport/clock"
 )
@@ -44,6 +47,11 @@
 	// lost or sent twice in a soak test.
 	platformLoss   = 0.01
 	platformRepeat = 0.01
+	// platformRecovery is the time after a loss of all instances within which everything works
+	// again; the users set it.
+	platformRecovery = 12 * time.Second
+	// lossMessage is the line after which all instances may be killed.
+	lossMessage = "acknowledged: the last document before the loss"
 	// platformMaxChangeInterval is the maximum time between two changes in a soak
 	// test.
 	platformMaxChangeInterval = 1500 * time.Millisecond
@@ -61,12 +69,14 @@
 func platformRunCommand(app *kingpin.Application) command {
 	c := app.Command("platform-run", "Emulate the platform for running instances.")
 	entries := c.Flag("entry", "Address of an entry instance; repeat it for all.").Required().Strings()
-	controls := c.Flag("control", "Address of a control instance; repeat it for all.").Required().Strings()
+	controls := c.Flag("control", "Address of a control instance; repeat it for all.").Strings()
+	list := c.Flag("control-list", "File with the addresses of the control instances, read before each call, in place of --control.").String()
+	loss := c.Flag("loss", "File that the caller creates after it has killed and restarted all instances, once the last document was acknowledged.").String()
 	duration := c.Flag("duration", "Time during which callers open flows.").Default("10s").Duration()
 	subnet := c.Flag("net", "Second octet of the loopback addresses, 1 to 254.").Default("1").Uint8()
 	seed := c.Flag("soak", "Seed of a soak test: change documents and replace backend servers at random times, and lose packets.").Uint64()
 	return command{clause: c, run: func(ctx context.Context) error {
-		p := platformRun{duration: *duration, router: &standin.Router{}, seed: *seed, subnet: *subnet}
+		p := platformRun{duration: *duration, router: &standin.Router{}, seed: *seed, subnet: *subnet, controlList: *list, loss: *loss}
 		if p.seed != 0 {
 			p.router.Loss, p.router.Repeat = platformLoss, platformRepeat
 		}
@@ -80,19 +90,39 @@
 				Readiness: netip.AddrPortFrom(ip, standin.ReadinessPort),
 			})
 		}
-		for _, ip := range *controls {
-			p.controlAddrs = append(p.controlAddrs, fmt.Sprintf("%s:%d", ip, standin.ControlPort))
+		p.controlAddrs = controlAddrs(*controls)
+		if len(p.control()) == 0 {
+			return errNoControl
 		}
 		return p.run(ctx)
 	}}
 }
 
+// errNoControl reports that no control instance was given.
+var errNoControl = errors.New("no control instance is given: use --control or --control-list")
+
+// controlAddrs returns the addresses at which control instances with the given IP addresses accept
+// calls.
+func controlAddrs(ips []string) []string {
+	var list []string
+	for _, ip := range ips {
+		list = append(list, fmt.Sprintf("%s:%d", ip, standin.ControlPort))
+	}
+	return list
+}
+
 // platformRun is a run on the emulated platform.
 type platformRun struct {
-	duration     time.Duration
-	router       *standin.Router
+	duration time.Duration
+	router   *standin.Router
+	// controlList is the file that lists the control instances. If it is empty, they are
+	// controlAddrs.
+	controlList  string
 	controlAddrs []string
-	counts       standin.Counts
+	// loss is the file that exists once all instances were killed and restarted after the last
+	// document; empty if that isn't done.
+	loss   string
+	counts standin.Counts
 	// seed is the seed of a soak test, or zero for a plain run.
 	seed uint64
 	// subnet is the second octet of the loopback addresses.
@@ -117,6 +147,27 @@
 	slowestOrder time.Duration
 }
 
+// control returns the addresses of the control instances that accept calls.
+func (p *platformRun) control() []string {
+	if p.controlList == "" {
+		return p.controlAddrs
+	}
+	b, err := os.ReadFile(p.controlList)
+	if err != nil {
+		fmt.Println(err)
+		return p.controlAddrs
+	}
+	return controlAddrs(strings.Fields(string(b)))
+}
+
+// controlFrom returns a function that returns them from the n-th one on.
+func (p *platformRun) controlFrom(n int) func() []string {
+	return func() []string {
+		list := p.control()
+		return append(slices.Clone(list[n:]), list[:n]...)
+	}
+}
+
 func (p *platformRun) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -132,7 +183,7 @@
 		}
 	}
 	g.Go(func() error { return p.router.Run(ctx) })
-	op := standin.Operator{Control: p.controlAddrs}
+	op := standin.Operator{Control: p.control}
 	readyCtx, stop := context.WithTimeout(ctx, platformReadyTimeout)
 	defer stop()
 	if err := op.Put(readyCtx, 1, append(routes, markerRoute(1))); err != nil {
@@ -179,7 +230,7 @@
 	b := &standin.Backend{
 		Name: fmt.Sprintf("i-%x", 0x7f000000+n), Service: service, Zone: string(rune('a' + n%platformBackends)),
 		Addr:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, p.subnet, 9, byte(n)}), standin.PacketPort),
-		Control: p.controlAddrs, CallerPort: standin.PacketPort, DrainGrace: platformDrainGrace,
+		Control: p.control, CallerPort: standin.PacketPort, DrainGrace: platformDrainGrace,
 		EvacuationGrace: platformEvacuationGrace,
 	}
 	b.SetEvacuated(b.Zone == p.evacuated)
@@ -250,7 +301,7 @@
 // evacuate orders the evacuation of a zone for a time.
 func (p *platformRun) evacuate(ctx context.Context, op *standin.Operator, zone string, d time.Duration) error {
 	began := time.Now()
-	if err := op.Evacuate(ctx, zone, true); err != nil {
+	if err := inTime(ctx, func(ctx context.Context) error { return op.Evacuate(ctx, zone, true) }); err != nil {
 		return err
 	}
 	p.evacuationEnd = time.Now().Add(d)
@@ -277,7 +328,7 @@
 	}
 	p.mu.Unlock()
 	began := time.Now()
-	err := op.Evacuate(ctx, zone, false)
+	err := inTime(ctx, func(ctx context.Context) error { return op.Evacuate(ctx, zone, false) })
 	p.slowestOrder = max(p.slowestOrder, time.Since(began))
 	return err
 }
@@ -358,7 +409,7 @@
 	}
 	var g errgroup.Group
 	if rng.IntN(4) == 0 {
-		other := &standin.Operator{Control: append(slices.Clone(op.Control[1:]), op.Control[0])}
+		other := &standin.Operator{Control: p.controlFrom(1)}
 		g.Go(func() error { return putInTime(ctx, other, version, append(slices.Clone(list), extraRoute(9))) })
 	}
 	g.Go(func() error { return putInTime(ctx, op, version, list) })
@@ -367,7 +418,7 @@
 	}
 	p.check.recordAcked(version)
 	if rng.IntN(4) == 0 {
-		again := &standin.Operator{Control: append(slices.Clone(op.Control[2:]), op.Control[:2]...)}
+		again := &standin.Operator{Control: p.controlFrom(2)}
 		return putInTime(ctx, again, version, list)
 	}
 	return nil
@@ -384,7 +435,40 @@
 	}
 	p.check.recordAcked(version)
 	p.check.checkInForce(ctx, version)
-	return p.checkRead(ctx, op, version)
+	if err := p.checkRead(ctx, op, version); err != nil || p.loss == "" {
+		return err
+	}
+	return p.checkLoss(ctx, routes, op)
+}
+
+// checkLoss puts a document, awaits the loss of a disk and of the power of all instances, and checks
+// that the document is read afterwards and another one gets in force everywhere.
+func (p *platformRun) checkLoss(ctx context.Context, routes []standin.Route, op *standin.Operator) error {
+	version := p.check.sent + 1
+	p.check.recordSent(version)
+	if err := putInTime(ctx, op, version, append(slices.Clone(routes), markerRoute(version))); err != nil {
+		return err
+	}
+	p.check.recordAcked(version)
+	fmt.Println(lossMessage)
+	ctx, cancel := context.WithTimeout(ctx, platformRecovery)
+	defer cancel()
+	for _, err := os.Stat(p.loss); err != nil; _, err = os.Stat(p.loss) {
+		if !clock.Sleep(ctx, probePause) {
+			return catkinrail.At(err, "await loss", p.loss)
+		}
+	}
+	if err := p.checkRead(ctx, op, version); err != nil {
+		return err
+	}
+	next := version + 1
+	p.check.recordSent(next)
+	if err := putInTime(ctx, op, next, append(slices.Clone(routes), markerRoute(next))); err != nil {
+		return err
+	}
+	p.check.recordAcked(next)
+	p.check.checkInForce(ctx, next)
+	return p.checkRead(ctx, op, next)
 }
 
 // replaceBackend starts a backend server, and drains the oldest one of the service
--- a/emulator/proxy/faults.go
+++ b/emulator/proxy/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"catkinrail.example/catkinrail/transport/clock"
@@ -69,8 +70,22 @@
 	}
 }
 
-// InjectFaults injects one fault at a time into a random instance's links, at random
-// times, until ctx ends, and writes a line for each to w. All choices come from the
+// inUse returns the instances with open connections, or all if there are none.
+func inUse(instances []*Instance) []*Instance {
+	var list []*Instance
+	for _, n := range instances {
+		if slices.ContainsFunc(n.Links, (*Link).InUse) {
+			list = append(list, n)
+		}
+	}
+	if list == nil {
+		return instances
+	}
+	return list
+}
+
+// InjectFaults injects one fault at a time into the links of a random instance that is in use, at
+// random times, until ctx ends, and writes a line for each to w. All choices come from the
 // seed.
 func InjectFaults(ctx context.Context, seed uint64, instances []*Instance, w io.Writer) {
 	rng := rand.New(rand.NewPCG(seed, 2))
@@ -79,7 +94,8 @@
 		if !clock.Sleep(ctx, randomDuration(rng, 0, maxFaultInterval)) {
 			return
 		}
-		f, inst := kinds[rng.IntN(len(kinds))], instances[rng.IntN(len(instances))]
+		used := inUse(instances)
+		f, inst := kinds[rng.IntN(len(kinds))], used[rng.IntN(len(used))]
 		duration := randomDuration(rng, minFaultDuration, maxFaultDuration)
 		f.start(inst)
 		if f.stop == nil {
--- a/emulator/proxy/proxy.go
+++ b/emulator/proxy/proxy.go
@@ -193,6 +193,13 @@
 	}
 }
 
+// InUse reports whether the link has open connections.
+func (l *Link) InUse() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns) > 0
+}
+
 // Reset resets all open connections.
 func (l *Link) Reset() {
 	l.mu.Lock()
--- a/scripts/platform-lib.sh
+++ b/scripts/platform-lib.sh
@@ -7,6 +7,8 @@
 net=${net:-1}
 seeds=(--seed "127.$net.1.100" --seed "127.$net.2.100" --seed "127.$net.3.100")
 zone_names=(a b c)
+# exchanges is the number of control instances that may follow one another in a zone.
+exchanges=${exchanges:-0}
 # link_mbps is the rate of an entry instance's link. Uploads reach it, so that packets wait.
 link_mbps=${link_mbps:-20}
 
@@ -34,7 +36,9 @@
 	if [ $# -gt 0 ]; then
 		args=()
 		for z in 1 2 3; do
-			args+=(--node "127.$net.$z.100=127.$net.$z.101")
+			for n in $(seq 0 "$exchanges"); do
+				args+=(--node "127.$net.$z.$((100 + 2 * n))=127.$net.$z.$((101 + 2 * n))")
+			done
 		done
 		start platform-proxy "$bin/catkinrail-emulator" platform-proxy --seed "$1" --duration "$2s" "${args[@]}"
 	fi
@@ -53,11 +57,13 @@
 }
 
 # start_platform_run FLAG...: starts callers, backend servers and an operator in one
-# process, which checks what they observe.
+# process, which checks what they observe. They call the control instances in $out/control-list.
 start_platform_run() {
 	local z args=()
+	printf '%s\n' "127.$net.1.100" "127.$net.2.100" "127.$net.3.100" >"$out/control-list"
 	for z in 1 2 3; do
-		args+=(--control "127.$net.$z.100" --entry "127.$net.$z.1" --entry "127.$net.$z.2")
+		args+=(--entry "127.$net.$z.1" --entry "127.$net.$z.2")
 	done
+	args+=(--control-list "$out/control-list")
 	start platform-run "$bin/catkinrail-emulator" platform-run --net "$net" "$@" "${args[@]}"
 }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,7 +2,8 @@
 # soak.sh SEED [SECONDS [NET]]: runs the system on loopback with the settings of the
 # users' platform for SECONDS (20 by default) while faults are injected at times drawn
 # from SEED: processes are killed, paused, stopped and restarted; connections to control
-# instances are delayed, reset, blocked in one direction or silenced; disks are lost,
+# instances are delayed, reset, blocked in one direction or silenced; control instances are
+# exchanged for new ones; disks are lost,
 # left with a torn write or limited in file size; documents change, backend servers are
 # replaced, zones are evacuated, and callers' packets are lost or repeated. Fails if no request is served, a
 # flow breaks, is refused, reaches a second backend server or opens too late on a
@@ -10,7 +11,8 @@
 # acknowledged one. Every entry instance is probed all the time: it must not go back to an older
 # document or refuse a route that was acknowledged 3 s before, and 4 s after the last fault another
 # document must be in force everywhere within 3 s. Invalid documents, documents of two operators
-# under one version, and acknowledged ones that are sent again are mixed in.
+# under one version, and acknowledged ones that are sent again are mixed in. At the end of every third
+# seed, a control instance loses its disk right after an acknowledgement, while all other processes are killed.
 set -u
 seed=${1:?usage: soak.sh SEED [SECONDS [NET]]}
 seconds=${2:-20}
@@ -23,9 +25,19 @@
 . "$(dirname "$0")/platform-lib.sh"
 trap stop_all EXIT
 RANDOM=$seed
+exchanges=20
+loss=()
+if ((seed % 3 == 1)); then
+	loss=(--loss "$out/loss")
+fi
 start_platform "$seed" "$((seconds + 2))"
-start_platform_run --duration "${seconds}s" --soak "$seed"
+start_platform_run --duration "${seconds}s" --soak "$seed" "${loss[@]}"
 run_pid=${pid_of[platform-run]}
+# core[Z] is the control instance of zone Z, address[Z] its address, and exchanged[Z] the number of
+# those before it.
+core=("" core-1 core-2 core-3)
+address=("" "127.$net.1.100" "127.$net.2.100" "127.$net.3.100")
+exchanged=(0 0 0 0)
 
 # log_fault TEXT...: writes a line with the time to faults.log.
 log_fault() {
@@ -33,7 +45,7 @@
 }
 
 random_front() { echo "front-$((RANDOM % 3 + 1))-$((RANDOM % 2 + 1))"; }
-random_core() { echo "core-$((RANDOM % 3 + 1))"; }
+random_core() { echo "${core[RANDOM % 3 + 1]}"; }
 
 # restart NAME: waits until the process has ended and starts it again.
 restart() {
@@ -52,20 +64,90 @@
 # inject_fault injects a random fault.
 inject_fault() {
 	local name
-	case $((RANDOM % 10)) in
+	case $((RANDOM % 11)) in
 	0) name=$(random_front) && log_fault "$name killed" && signal "$name" KILL && restart "$name" ;;
 	1) name=$(random_front) && log_fault "$name stopped" && signal "$name" TERM && restart "$name" ;;
 	2) pause_for "$(random_front)" $((RANDOM % 2 + 1)) ;;
 	3) name=$(random_core) && log_fault "$name killed" && signal "$name" KILL && restart "$name" ;;
 	4) pause_for "$(random_core)" $((RANDOM % 2 + 1)) ;;
-	5) log_fault "all control instances killed" && for z in 1 2 3; do signal "core-$z" KILL; done && for z in 1 2 3; do restart "core-$z"; done ;;
+	5) log_fault "all control instances killed" && for name in "${core[@]:1}"; do signal "$name" KILL; done && for name in "${core[@]:1}"; do restart "$name"; done ;;
 	6) name=$(random_core) && lose_disk "$name" ;;
 	7) name=$(random_front) && log_fault "$name and a control instance receive SIGHUP" && signal "$name" HUP && signal "$(random_core)" HUP ;;
 	8) name=$(random_core) && leave_torn_write "$name" ;;
 	9) name=$(random_core) && limit_file_size "$name" ;;
+	10) exchange_cores $((RANDOM % 3 + 1)) ;;
 	esac
 }
 
+# exchange_cores N: starts new control instances in N zones, beside those there. 4 s later the old ones
+# are stopped for good, one after the other. Does nothing if the run ends before: each stop takes up to
+# 1 s, and the pause after it as long.
+exchange_cores() {
+	local z zones old=() n
+	if [ $((SECONDS + 4 + 2 * $1)) -ge "$seconds" ]; then
+		return
+	fi
+	mapfile -t zones < <(shuf -e 1 2 3 -n "$1" --random-source <(yes "$RANDOM"))
+	for z in "${zones[@]}"; do
+		if [ "${exchanged[$z]}" -ge "$exchanges" ]; then
+			continue
+		fi
+		old+=("${core[$z]}")
+		n=$((++exchanged[$z]))
+		core[$z]=core-$z-$n
+		address[$z]=127.$net.$z.$((100 + 2 * n))
+		write_node_file "${core[$z]}" "$z" "${address[$z]}" --listen "127.$net.$z.$((101 + 2 * n))" --data "$out/data-$z-$n"
+		start_on_platform "${core[$z]}"
+		log_fault "${core[$z]} starts beside ${old[-1]}"
+	done
+	sleep 4
+	write_addresses
+	for name in "${old[@]}"; do
+		log_fault "$name stopped for good"
+		signal "$name" TERM
+		wait "${pid_of[$name]}" 2>/dev/null
+		sleep "0.$((RANDOM % 10))"
+	done
+}
+
+# write_addresses replaces the control instances in the callers' list and in all settings files.
+write_addresses() {
+	local file z args=()
+	printf '%s\n' "${address[@]:1}" >"$out/control-list.new"
+	mv "$out/control-list.new" "$out/control-list"
+	seeds=()
+	for z in 1 2 3; do
+		seeds+=(--seed "${address[$z]}")
+	done
+	for file in "$out"/front-*.yaml "$out"/core-*.yaml; do
+		args=()
+		for z in 1 2 3; do
+			args+=(-e "s/^  - \"127\\.$net\\.$z\\.[0-9]*:8166\"/  - \"${address[$z]}:8166\"/")
+		done
+		sed -i -e 's/^bootstrap: true/bootstrap: false/' "${args[@]}" "$file"
+	done
+}
+
+# lose_disk_and_power kills all processes and starts them again, one control instance with an empty
+# disk.
+lose_disk_and_power() {
+	local name lost all=("${core[@]:1}" front-{1,2,3}-{1,2})
+	lost=$(random_core)
+	log_fault "all instances killed, disk of $lost lost"
+	for name in "${all[@]}"; do
+		signal "$name" KILL
+	done
+	for name in "${all[@]}"; do
+		wait "${pid_of[$name]}" 2>/dev/null
+	done
+	rm -rf "${out:?}/data-${lost#core-}"
+	write_addresses
+	for name in "${all[@]}"; do
+		start_on_platform "$name"
+	done
+	touch "$out/loss"
+}
+
 # leave_torn_write NAME: kills a control instance, appends 1 to 60 bytes to its newest
 # segment, as an incomplete write leaves them, and starts it again. The bytes are the
 # first ones of this script.
@@ -107,6 +189,13 @@
 	sleep "0.$((RANDOM % 9 + 1))"
 	inject_fault
 done
+if [ ${#loss[@]} -gt 0 ]; then
+	acked() { grep -q '^acknowledged: the last' "$out/platform-run.log"; }
+	while kill -0 "$run_pid" 2>/dev/null && ! acked; do
+		sleep 0.02
+	done
+	acked && lose_disk_and_power
+fi
 wait "$run_pid"
 result=$?
 echo "seed $seed: $(tr '\n' ' ' <"$out/platform-run.log")"
