core: don't read the answer of a call whose time was up

Cause: Join and Heartbeat read what the core's goroutine writes also after the caller's time was up, while the goroutine may still write it. Change: after an error they return nothing else.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -242,7 +242,8 @@
 	}
 }
 
-// do runs f in the core's goroutine and waits until it returns.
+// do runs f in the core's goroutine and waits until it returns. After an error f may still run: the
+// caller must not read what it writes.
 func (c *Core) do(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	select {
--- a/control/core/leader.go
+++ b/control/core/leader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -181,11 +180,13 @@
 	var reply *message.HeartbeatReply
 	var changed <-chan struct{}
 	var result error
-	err := c.do(ctx, func() {
+	if err := c.do(ctx, func() {
 		reply, result = c.heartbeat(hb)
 		changed = c.changed
-	})
-	return reply, changed, errors.Join(err, result)
+	}); err != nil {
+		return nil, nil, err
+	}
+	return reply, changed, result
 }
 
 func (c *Core) heartbeat(hb *message.Heartbeat) (*message.HeartbeatReply, error) {
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -16,10 +16,12 @@
 // Hello returns the identity of this instance and the index of its last entry.
 func (c *Core) Hello(ctx context.Context) (*message.HelloReply, error) {
 	reply := &message.HelloReply{}
-	err := c.do(ctx, func() {
+	if err := c.do(ctx, func() {
 		*reply = message.HelloReply{Node: c.node.ID(), Name: c.cfg.Name, LastIndex: c.node.LastIndex()}
-	})
-	return reply, err
+	}); err != nil {
+		return nil, err
+	}
+	return reply, nil
 }
 
 // memberTimeout is the time without being in sync with a leader after which an
@@ -58,8 +60,10 @@
 // that doesn't lead replies with these alone.
 func (c *Core) Join(ctx context.Context, req *message.JoinRequest) (*message.JoinReply, error) {
 	var answer joinResult
-	err := c.do(ctx, func() { answer = c.handleJoin(req) })
-	return &answer.JoinReply, errors.Join(err, answer.err)
+	if err := c.do(ctx, func() { answer = c.handleJoin(req) }); err != nil {
+		return nil, err
+	}
+	return &answer.JoinReply, answer.err
 }
 
 // joinResult is the reply to a request to join, or its error.
--- a/control/core/members_test.go
+++ b/control/core/members_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"catkinrail.example/catkinrail/coordination/message"
 )
@@ -15,15 +16,15 @@
 func TestAbandonedJoin(t *testing.T) {
 	c := newTestCluster(t, 1).cores[1]
 	ctx, cancel := context.WithCancel(t.Context())
-	joined := make(chan error)
-	go func() {
+	var g errgroup.Group
+	g.Go(func() error {
 		_, err := c.Join(ctx, &message.JoinRequest{Node: 2})
-		joined <- err
-	}()
+		return err
+	})
 	answer := <-c.inbox
 	cancel()
 	// The answer comes after the caller has gone, without anything that orders the two.
 	time.Sleep(50 * time.Millisecond)
 	answer()
-	require.ErrorIs(t, <-joined, context.Canceled)
+	require.ErrorIs(t, g.Wait(), context.Canceled)
 }
