--- a/control/core/members.go
+++ b/control/core/members.go
@@ -88,7 +88,8 @@
 // joinStep takes the next step of a request. It returns nil if nothing is left to do,
 // and ErrRetryLater if the request must be sent again.
 func (c *Core) joinStep(req *message.JoinRequest) error {
-	next, done := (*quorum.Members)(nil), false
+	var next *quorum.Members
+	var done bool
 	if req.Stopping {
 		next, done = c.cfg.Membership.Leave(c.node, req.Node)
 	} else {
