soak: count starts of entry instances instead of silent times

The trace: the entry instance was killed at 07:39:10.296 and its successor started at .313, followed a control instance that was in contact but hadn't applied version 27 yet, 0.25 s after its acknowledgement, and was ready at .316. The rule is about one lifetime of a process, and bounds a new one by 3 s. The check took only a silence of 0.4 s for a restart, so that it missed one of 20 ms; and it forgave an older document after each pause of 0.4 s, in which the process may have stood still.

Change: scripts list each start of an entry instance, and the check begins anew with each of them, and with nothing else. So it is stricter for paused instances.

--- a/emulator/cmd/catkinrail-emulator/platform_check.go
+++ b/emulator/cmd/catkinrail-emulator/platform_check.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,9 +25,6 @@
 	calmTime = 4 * time.Second
 	// probePause is the time between two probes of an entry instance.
 	probePause = 40 * time.Millisecond
-	// restartPause is the time without an answer after which an entry instance may have been
-	// restarted, with an older document than before.
-	restartPause = 400 * time.Millisecond
 )
 
 // markerRoute returns the route that only the document of a version has.
@@ -38,6 +37,10 @@
 type documentCheck struct {
 	entries []standin.Entry
 	subnet  byte
+	// starts is the file to which the IP address of an entry instance is appended before each of
+	// its starts. A process may begin with an older document than the one before it had. If it is
+	// empty, no instance is started again.
+	starts string
 
 	mu sync.Mutex
 	// sent and acked are the newest versions that were sent and acknowledged; ackedAt is the time
@@ -51,8 +54,8 @@
 	probes   int
 }
 
-func newDocumentCheck(entries []standin.Entry, subnet byte) *documentCheck {
-	return &documentCheck{entries: entries, subnet: subnet, inForce: map[int]uint64{}, failures: map[string]int{}}
+func newDocumentCheck(entries []standin.Entry, subnet byte, starts string) *documentCheck {
+	return &documentCheck{entries: entries, subnet: subnet, starts: starts, inForce: map[int]uint64{}, failures: map[string]int{}}
 }
 
 func (c *documentCheck) recordSent(version uint64) {
@@ -90,12 +93,30 @@
 	return nil
 }
 
+// countStarts returns the number of starts of the entry instance at the address.
+func (c *documentCheck) countStarts(addr netip.Addr) (int, error) {
+	if c.starts == "" {
+		return 0, nil
+	}
+	b, err := os.ReadFile(c.starts)
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	for _, line := range strings.Fields(string(b)) {
+		if line == addr.String() {
+			n++
+		}
+	}
+	return n, nil
+}
+
 // probe probes an entry instance until ctx ends. A document that it had in force must not be
 // followed by an older one while it runs, and a route that was acknowledged applyTime ago must not be
 // refused: an instance that isn't in touch leaves the packet unanswered.
 func (c *documentCheck) probe(ctx context.Context, p *standin.Prober, i int) error {
 	var shown uint64
-	answered := time.Now()
+	started := 0
 	for turn := 0; clock.Sleep(ctx, probePause); turn++ {
 		c.mu.Lock()
 		acked, ackedAt, sent := c.acked, c.ackedAt, c.sent
@@ -111,12 +132,17 @@
 			return err
 		}
 		if answer == standin.Silent {
-			if time.Since(answered) > restartPause {
-				shown = 0
-			}
 			continue
 		}
-		answered = time.Now()
+		n, err := c.countStarts(p.Entry.Addr())
+		if err != nil {
+			return err
+		}
+		if n != started {
+			// The answer may come from the process that has ended.
+			started, shown = n, 0
+			continue
+		}
 		switch {
 		case answer == standin.Served && version < shown:
 			c.fail("documents-back", "%s serves version %d after version %d", p.Entry, version, shown)
--- a/emulator/cmd/catkinrail-emulator/platform_run.go
+++ b/emulator/cmd/catkinrail-emulator/platform_run.go
@@ -71,12 +71,13 @@
 	entries := c.Flag("entry", "Address of an entry instance; repeat it for all.").Required().Strings()
 	controls := c.Flag("control", "Address of a control instance; repeat it for all.").Strings()
 	list := c.Flag("control-list", "File with the addresses of the control instances, read before each call, in place of --control.").String()
+	starts := c.Flag("starts", "File to which the IP address of an entry instance is appended before each of its starts.").String()
 	loss := c.Flag("loss", "File that the caller creates after it has killed and restarted all instances, once the last document was acknowledged.").String()
 	duration := c.Flag("duration", "Time during which callers open flows.").Default("10s").Duration()
 	subnet := c.Flag("net", "Second octet of the loopback addresses, 1 to 254.").Default("1").Uint8()
 	seed := c.Flag("soak", "Seed of a soak test: change documents and replace backend servers at random times, and lose packets.").Uint64()
 	return command{clause: c, run: func(ctx context.Context) error {
-		p := platformRun{duration: *duration, router: &standin.Router{}, seed: *seed, subnet: *subnet, controlList: *list, loss: *loss}
+		p := platformRun{duration: *duration, router: &standin.Router{}, seed: *seed, subnet: *subnet, controlList: *list, loss: *loss, starts: *starts}
 		if p.seed != 0 {
 			p.router.Loss, p.router.Repeat = platformLoss, platformRepeat
 		}
@@ -121,7 +122,9 @@
 	controlAddrs []string
 	// loss is the file that exists once all instances were killed and restarted after the last
 	// document; empty if that isn't done.
-	loss   string
+	loss string
+	// starts is the file that lists the starts of entry instances.
+	starts string
 	counts standin.Counts
 	// seed is the seed of a soak test, or zero for a plain run.
 	seed uint64
@@ -189,7 +192,7 @@
 	if err := op.Put(readyCtx, 1, append(routes, markerRoute(1))); err != nil {
 		return err
 	}
-	p.check, p.digests = newDocumentCheck(p.router.Entries, p.subnet), map[uint64]uint64{}
+	p.check, p.digests = newDocumentCheck(p.router.Entries, p.subnet, p.starts), map[uint64]uint64{}
 	p.check.recordSent(1)
 	p.check.recordAcked(1)
 	time.Sleep(time.Second)
--- a/scripts/platform-lib.sh
+++ b/scripts/platform-lib.sh
@@ -21,10 +21,13 @@
 }
 
 # start_on_platform NAME: starts an instance with $out/NAME.yaml: core-* is a control
-# instance, all others are entry instances.
+# instance, all others are entry instances, whose starts are listed in $out/starts.
 start_on_platform() {
 	local program=catkinrail-entry
-	case $1 in core-*) program=catkinrail-control ;; esac
+	case $1 in
+	core-*) program=catkinrail-control ;;
+	*) sed -n 's/^ip: "\(.*\)"$/\1/p' "$out/$1.yaml" >>"$out/starts" ;;
+	esac
 	start "$1" env CATKINRAIL_NODE_FILE="$out/$1.yaml" "$bin/$program" --platform
 }
 
@@ -64,6 +67,6 @@
 	for z in 1 2 3; do
 		args+=(--entry "127.$net.$z.1" --entry "127.$net.$z.2")
 	done
-	args+=(--control-list "$out/control-list")
+	args+=(--control-list "$out/control-list" --starts "$out/starts")
 	start platform-run "$bin/catkinrail-emulator" platform-run --net "$net" "$@" "${args[@]}"
 }
