token, work: refuse for want of room only on work that answers have shown

Cause: before 20 samples the work of a route was taken for 30 ms. With a target of 150 ms, one slot and one priority that makes three places, so that three requests that a pause of the machine held up (mean latency 76 ms) filled a zone whose servers answer in 0.1 to 2 ms. It stayed full until the next exchange of loads, 250 ms later. The pending request in its log line is not what filled the zone: the line tells the load of the time at which it is written.

Change: nothing is refused for want of room before 20 answers have shown the work of most of the service's requests. Until a route's work is learned, its answers count with their time divided by the queue, and the median of them is used.

Ruled out: loads of others that aren't heard yet (nothing is refused without a view), warm-up (the soak's servers have none), long handshakes (0.1 to 5 ms at the time).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -82,7 +82,8 @@
 	Target time.Duration
 	// RoundTrip is the time that a request takes apart from the backend server.
 	RoundTrip time.Duration
-	// Work is the expected work of a request, and MeanWork that of all requests of the service.
+	// Work is the expected work of a request, and MeanWork that of all requests of the service;
+	// zero means that it isn't known, and that the route's requests aren't refused.
 	Work, MeanWork time.Duration
 	// Rank is that of the route's priority among those of the service: 0 for the lowest, 1 for the
 	// highest, and 0.5 if there is only one.
--- a/coordination/place/hardload_test.go
+++ b/coordination/place/hardload_test.go
@@ -44,18 +44,22 @@
 			Targets: []catkinrail.Target{{Service: "logbook", Weight: 1}},
 		})
 	}
-	for i := range s.zones * s.entries {
-		e := token.New(zoneName(i/s.entries), s.rng.Uint64())
-		e.SetDocument(d)
-		s.engines = append(s.engines, e)
+	s.startEngines = func() {
+		s.engines = s.engines[:0]
+		for i := range s.zones * s.entries {
+			e := token.New(zoneName(i/s.entries), s.rng.Uint64())
+			e.SetDocument(d)
+			s.engines = append(s.engines, e)
+		}
 	}
+	s.startEngines()
 	s.follow(nil)
 	if shared {
 		table := load.NewTable("control", 1)
-		for i, e := range s.engines {
+		for i := range s.engines {
 			r := &message.LoadReport{Name: fmt.Sprint("entry-", i), Zone: zoneName(i / s.entries), Process: uint64(i + 1)}
 			// Instances report at different times.
-			s.at(shareInterval*time.Duration(i)/time.Duration(len(s.engines)), func() { s.share(e, r, table) })
+			s.at(shareInterval*time.Duration(i)/time.Duration(len(s.engines)), func() { s.share(i, r, table) })
 		}
 	}
 	s.tick()
@@ -71,6 +75,10 @@
 // follow sends the engines the states of backend servers that have changed.
 func (s *simulation) follow(sent []token.FollowedBackend) {
 	var changed []token.FollowedBackend
+	if s.restartAt > 0 && s.now >= s.restartAt {
+		s.startEngines()
+		sent, s.restartAt = sent[:0], 0
+	}
 	for i, b := range s.servers {
 		if b.startedAt > 0 && s.now < b.startedAt+updateDelay {
 			break
@@ -96,9 +104,10 @@
 	s.at(s.now+20*time.Millisecond, func() { s.follow(sent) })
 }
 
-// share makes an engine report its load to a table at an interval, and applies the replies
+// share makes the k-th engine report its load to a table at an interval, and applies the replies
 // shareDelay later.
-func (s *simulation) share(e *token.Engine, r *message.LoadReport, table *load.Table) {
+func (s *simulation) share(k int, r *message.LoadReport, table *load.Table) {
+	e := s.engines[k]
 	for i, b := range s.servers {
 		server := load.Server{Key: message.NewServerKey(catkinrail.Token(i+1), 1), Zone: zoneName(b.zone), Service: "logbook", Slots: s.slots}
 		if s.reported(b.drainAt, updateDelay) || s.reported(b.failAt, silentDelay) {
@@ -110,7 +119,7 @@
 		reply := table.Report(r, int64(s.now))
 		s.at(s.now+shareDelay, func() { e.ApplyLoad(reply, int64(s.now)) })
 	}
-	s.at(s.now+shareInterval, func() { s.share(e, r, table) })
+	s.at(s.now+shareInterval, func() { s.share(k, r, table) })
 }
 
 // open sends a flow's opening packet or a copy of it.
--- a/coordination/place/loads_test.go
+++ b/coordination/place/loads_test.go
@@ -140,10 +140,14 @@
 	choose func(list []place.Candidate, random uint64) int
 	// engines place the flows instead of choose, if there are any.
 	engines []*token.Engine
-	now     time.Duration
-	events  []event
-	servers []*backendServer
-	lost    []bool
+	// startEngines replaces the engines by ones that have observed nothing, at restartAt if that
+	// isn't zero.
+	startEngines func()
+	restartAt    time.Duration
+	now          time.Duration
+	events       []event
+	servers      []*backendServer
+	lost         []bool
 	// callerZone is the zone that the callers of each zone reach.
 	callerZone []int
 	// factor multiplies the rate of flows of a single request, by zone.
--- a/coordination/place/scarce_test.go
+++ b/coordination/place/scarce_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// TestRestartAmongFullQueues guards against entry instances that never refuse because they start
+// where no request is answered without waiting, so that they don't learn the work: with all
+// restarted a second after the demand rose, answers in time must meet the bound of TestScarceServers.
+func TestRestartAmongFullQueues(t *testing.T) {
+	crowd := func(x float64) func(s *simulation) {
+		return func(s *simulation) { s.everywhere(func(z int) { s.crowd(z, x) }) }
+	}
+	met := replayScarce(scarceShape(), true, crowd(2))
+	o := replayScarce(scarceShape(), true, func(s *simulation) {
+		crowd(3.5)(s)
+		s.restartAt = s.now + time.Second
+	})
+	t.Logf("restarted at 3.5 times the demand: %s", &o)
+	require.Greater(t, o.inTimePerSecond(), 0.8*met.inTimePerSecond())
+}
+
 // TestCrowdedZoneOfFewServers replays demand that exceeds the room of one or two zones while
 // others have room: flows stayed in their zone, since a service of few servers had no
 // spillover. Half of what callers lose must be gained.
--- a/coordination/token/cost.go
+++ b/coordination/token/cost.go
@@ -60,6 +60,8 @@
 	// requests that the backend server had then.
 	begunAt int64
 	queue   int
+	// seen is set if the requests of other instances are among these.
+	seen bool
 }
 
 // recordOpen records that a flow is open. Took is the time of its handshake, or zero if
@@ -90,7 +92,7 @@
 		return
 	}
 	b := f.backend
-	f.begunAt, f.queue = now, b.pending-1+b.others.pending
+	f.begunAt, f.queue, f.seen = now, b.pending-1+b.others.pending, b.others.fresh(now)
 	f.route.AddIdle(-1, now)
 	b.work.Begin(f.route, now)
 }
@@ -102,7 +104,7 @@
 	f.route.AddIdle(1, now)
 	f.backend.work.End(f.route, work.Answer{
 		Began: f.begunAt, SentAt: f.requestedAt, RoundTrip: f.roundTrip, Queue: f.queue, Slots: f.backend.Slots,
-		Cold: f.backend.warmUntil > f.begunAt,
+		Seen: f.seen, Cold: f.backend.warmUntil > f.begunAt,
 	}, now)
 }
 
--- a/coordination/token/load.go
+++ b/coordination/token/load.go
@@ -18,6 +18,11 @@
 	at int64
 }
 
+// fresh reports whether the load is known.
+func (l *othersLoad) fresh(now int64) bool {
+	return l.at > 0 && now-l.at < int64(load.Expiry)
+}
+
 // sharedLoads is what the engine shares with other entry instances.
 type sharedLoads struct {
 	// shared is set if the document calls for sharing.
--- a/coordination/token/placement.go
+++ b/coordination/token/placement.go
@@ -149,7 +149,7 @@
 	}
 	if z < 0 && r != nil && avoid == nil {
 		var wait time.Duration
-		if full, wait = e.homeFull(r, s, req.Work); full {
+		if full, wait = e.homeFull(r, s); full {
 			z = s.spill.Take(req, wait, e.rng.Uint64(), now)
 		}
 	}
--- a/coordination/token/room.go
+++ b/coordination/token/room.go
@@ -60,12 +60,15 @@
 
 // homeFull reports whether the own zone has no place for a request of a new flow of the route.
 // It returns the time for which the request may wait elsewhere: less than in the own zone, and
-// not so long that it is late.
-func (e *Engine) homeFull(r *catkinrail.Route, s *serviceIndex, work time.Duration) (full bool, slack time.Duration) {
+// not so long that it is late. Only work that was learned counts: until then nothing is refused.
+func (e *Engine) homeFull(r *catkinrail.Route, s *serviceIndex) (full bool, slack time.Duration) {
 	q := admission.Request{
-		Target: r.LatencyTarget, RoundTrip: 2 * e.placement.handshakes[e.zone], Work: work, MeanWork: s.request.MeanWork,
+		Target: r.LatencyTarget, RoundTrip: 2 * e.placement.handshakes[e.zone], Work: s.shownWork, MeanWork: s.shownWork,
 		Rank: s.ranks[r.Priority],
 	}
+	if c := e.placement.costs[costKey{r.Name, s.name}]; c != nil && c.Known() {
+		q.Work = c.Mean()
+	}
 	pending := 0
 	for _, b := range s.home {
 		pending += b.pending + b.pendingHandshakes
--- a/coordination/token/service.go
+++ b/coordination/token/service.go
@@ -23,6 +23,7 @@
 // serviceIndex is the backend servers of a service by zone, without those that take no new
 // flows or are silent.
 type serviceIndex struct {
+	name string
 	// learns is set if the document calls for decisions by expected work, so that the work of
 	// requests is learned; byWork is set if there are enough backend servers to place by it.
 	learns, byWork bool
@@ -34,6 +35,9 @@
 	// request holds the means over the service's routes.
 	request place.Request
 	room    admission.Room
+	// shownWork is the mean work of the service's requests without what is assumed of any; zero
+	// if most of them are of routes whose work isn't known.
+	shownWork time.Duration
 	// refused counts the flows that were refused for want of room since the last TakeCrowding,
 	// and elsewhere those that went to another zone instead.
 	refused, elsewhere int
@@ -115,7 +119,7 @@
 	for name, list := range e.services {
 		s := pl.services[name]
 		if s == nil {
-			s = &serviceIndex{}
+			s = &serviceIndex{name: name}
 			pl.services[name] = s
 		}
 		s.learns = callsForWork(e.document, name)
@@ -178,6 +182,7 @@
 func (e *Engine) refreshService(name string, s *serviceIndex, list []message.ZoneLoad, instances int, now int64) {
 	s.routes = e.placement.routesTo(name, s.routes[:0])
 	s.request.MeanWork, s.request.IdleWork = work.Mix(s.routes, place.WorkHorizon)
+	s.shownWork = work.ShownMean(s.routes)
 	if d := now - s.refreshedAt; d > 0 {
 		s.rate += (float64(s.placed)/float64(d) - s.rate) / 2
 		s.placed, s.refreshedAt = 0, now
--- a/coordination/work/server.go
+++ b/coordination/work/server.go
@@ -82,8 +82,9 @@
 	// RoundTrip is the time of the flow's handshake.
 	RoundTrip time.Duration
 	// Queue is the number of requests that the server had before this one, and Slots the
-	// number that it runs.
+	// number that it runs. Seen is set if Queue holds the requests of other instances.
 	Queue, Slots int
+	Seen         bool
 	// Cold is set while the server warms up: its times show nothing of its later speed.
 	Cold bool
 }
@@ -108,6 +109,9 @@
 		r.record(took, now)
 	}
 	if !r.Known() {
+		if a.Seen {
+			r.recordEarly(took, a.Queue, slots)
+		}
 		return true
 	}
 	s.decay(now)
--- a/coordination/work/work.go
+++ b/coordination/work/work.go
@@ -24,6 +24,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -72,6 +73,10 @@
 	// idleTime and requests decay with flowMemory.
 	idleTime float64
 	requests float64
+	// early and full hold the work that answers show before the work is known: early those of
+	// requests that found a place in the queue of their server, and full those of requests to a
+	// server whose queue was full.
+	early, full answers
 }
 
 // NewRoute returns a route without samples.
@@ -144,6 +149,50 @@
 	}
 }
 
+// answers holds the work that the latest answers have shown.
+type answers struct {
+	works [minSamples]time.Duration
+	total int
+}
+
+func (a *answers) add(d time.Duration) {
+	a.works[a.total%minSamples] = d
+	a.total++
+}
+
+func (a *answers) len() int { return min(a.total, minSamples) }
+
+// recordEarly adds an answer before the route's work is known: after the given time, behind queue
+// others on a server with that many slots.
+func (r *Route) recordEarly(took time.Duration, queue, slots int) {
+	limit := slots + QueueLimit
+	if queue < limit {
+		r.early.add(time.Duration(float64(took) / queueFactor(queue, slots)))
+		return
+	}
+	// The request was rejected after whatever time, or it was the last one in the queue.
+	r.full.add(time.Duration(float64(took) / queueFactor(limit-1, slots)))
+}
+
+// shown returns the work that answers have shown, and the number of these: the mean if it is known,
+// else the median, since the wait of a single request isn't known well. Full says whether answers of
+// servers whose queue was full count.
+func (r *Route) shown(full bool) (d time.Duration, n int) {
+	if r.Known() {
+		return r.mean, minSamples
+	}
+	var all [2 * minSamples]time.Duration
+	n = copy(all[:], r.early.works[:r.early.len()])
+	if full {
+		n += copy(all[n:], r.full.works[:r.full.len()])
+	}
+	if n == 0 {
+		return 0, 0
+	}
+	slices.Sort(all[:n])
+	return all[n/2], n
+}
+
 // SetCrowded sets whether most requests may have to wait, so that none is a sample.
 func (r *Route) SetCrowded(on bool) { r.crowded = on }
 
@@ -206,6 +255,33 @@
 	}
 }
 
+// ShownMean returns the mean work of the requests of several routes as far as answers have shown it.
+// It is zero before minSamples answers, or if most requests are of routes without any. Answers of
+// servers whose queue was full only count while there are too few others.
+func ShownMean(routes []*Route) time.Duration {
+	if d := shownMean(routes, false); d > 0 {
+		return d
+	}
+	return shownMean(routes, true)
+}
+
+func shownMean(routes []*Route, full bool) time.Duration {
+	sum, shown, requests, count := 0.0, 0.0, 0.0, 0
+	for _, r := range routes {
+		requests += r.requests
+		d, n := r.shown(full)
+		count += n
+		if n > 0 {
+			sum += r.requests * float64(d)
+			shown += r.requests
+		}
+	}
+	if count < minSamples || 2*shown < requests {
+		return 0
+	}
+	return time.Duration(sum / shown)
+}
+
 // Mix returns the mean work of the requests of several routes, and that which an open flow
 // without a pending request is expected to bring within the horizon.
 func Mix(routes []*Route, horizon time.Duration) (mean, idle time.Duration) {
--- a/coordination/work/work_test.go
+++ b/coordination/work/work_test.go
@@ -72,3 +72,56 @@
 		})
 	}
 }
+
+// TestShownMean guards against work that is assumed where answers have shown none, and against
+// waiting, rejections or single slow answers that count as work.
+func TestShownMean(t *testing.T) {
+	const want = 30 * time.Millisecond
+	for _, tt := range []struct {
+		name string
+		// answers is the number of answers of a server of two slots, each after took behind queue
+		// others.
+		answers, queue int
+		took           int64
+		seen           bool
+		// slow is the number of answers before these that took 30 times as long, full that of answers
+		// of a server whose queue was full, and other that of answers on a route whose work isn't shown.
+		slow, full, other int
+		want              time.Duration
+	}{
+		{name: "no answer", seen: true},
+		{name: "too few answers", answers: 19, took: 30 * ms, seen: true},
+		{name: "idle servers", answers: 20, took: 30 * ms, seen: true, want: want},
+		{name: "each behind seven others", answers: 20, queue: 7, took: 120 * ms, seen: true, want: want},
+		{name: "some took long", answers: 14, queue: 2, took: 45 * ms, seen: true, slow: 6, want: want},
+		{name: "the queue isn't known", answers: 40, queue: 7, took: 120 * ms},
+		{name: "full queues only", answers: 40, queue: 14, took: 150 * ms, seen: true, want: want},
+		{name: "full queues, and enough others", answers: 20, queue: 4, took: 75 * ms, seen: true, full: 40, want: want},
+		{name: "a few of another route", answers: 20, took: 30 * ms, seen: true, other: 10, want: want},
+		{name: "most are of another route", answers: 20, took: 30 * ms, seen: true, other: 30},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			routes := []*work.Route{work.NewRoute(0), work.NewRoute(0)}
+			var s work.Server
+			now := ms
+			answer := func(r *work.Route, took int64, queue int, seen bool) {
+				s.Begin(r, now)
+				s.End(r, work.Answer{Began: now, SentAt: now, Queue: queue, Seen: seen, Slots: 2}, now+took)
+				now += took
+			}
+			for range tt.slow {
+				answer(routes[0], 30*tt.took, tt.queue, tt.seen)
+			}
+			for range tt.full {
+				answer(routes[0], 20*ms, 10, true)
+			}
+			for range tt.answers {
+				answer(routes[0], tt.took, tt.queue, tt.seen)
+			}
+			for range tt.other {
+				answer(routes[1], 30*ms, 4, false)
+			}
+			require.InDelta(t, tt.want, work.ShownMean(routes), float64(want)/10)
+		})
+	}
+}
