token: tell the load by which a service was crowded

Cause: the line "service crowded" told the load at the time at which it is written, up to a second and four exchanges of loads after the flows that it counts were refused.

Change: the load, the entry instances and the mean work are kept with the last flow that found no place.

Result: the case of TestNothingRefusedOnAssumedWork that refuses told the pending requests of the next view before, 9 instead of 3.

--- a/coordination/token/placement.go
+++ b/coordination/token/placement.go
@@ -156,11 +156,8 @@
 	if z >= 0 {
 		b = e.placeIn(&s.zones[z], ChoiceSpilled, req, avoid, now)
 	}
-	switch {
-	case full && b == nil:
-		s.refused++
-	case full:
-		s.elsewhere++
+	if full {
+		s.recordCrowded(b == nil)
 	}
 	return b, full && b == nil
 }
--- a/coordination/token/room.go
+++ b/coordination/token/room.go
@@ -33,7 +33,7 @@
 // requests than they answer in time.
 type Crowding struct {
 	Service string
-	// Zone, Instances and MeanWork are what the shares were calculated from.
+	// Zone, Instances and MeanWork are what the shares were calculated from at the last of them.
 	Zone      admission.Zone
 	Instances int
 	MeanWork  time.Duration
@@ -42,18 +42,26 @@
 	Refused, Elsewhere int
 }
 
+// recordCrowded counts a flow for which the own zone had no place.
+func (s *serviceIndex) recordCrowded(refused bool) {
+	c := &s.crowding
+	c.Service, c.MeanWork = s.name, s.shownWork
+	c.Zone, c.Instances = s.room.Load()
+	if refused {
+		c.Refused++
+		return
+	}
+	c.Elsewhere++
+}
+
 // TakeCrowding appends the services for which this instance had no place since the last call to
 // list.
 func (e *Engine) TakeCrowding(list []Crowding) []Crowding {
-	for name, s := range e.placement.services {
-		if s.refused == 0 && s.elsewhere == 0 {
-			continue
+	for _, s := range e.placement.services {
+		if s.crowding.Service != "" {
+			list = append(list, s.crowding)
+			s.crowding = Crowding{}
 		}
-		zone, instances := s.room.Load()
-		list = append(list, Crowding{
-			Service: name, Zone: zone, Instances: instances, MeanWork: s.request.MeanWork, Refused: s.refused, Elsewhere: s.elsewhere,
-		})
-		s.refused, s.elsewhere = 0, 0
 	}
 	return list
 }
--- a/coordination/token/room_test.go
+++ b/coordination/token/room_test.go
@@ -60,6 +60,14 @@
 			now += 90 * ms
 			shareLoads(t, e, nil, []message.ZoneLoad{{Zone: "b", Service: "logbook", Slots: 1, Pending: 1, Latency: time.Second}}, now)
 			require.Equal(t, tt.reason, e.Decide(opening(port+1, 0), now+5*ms).Reason)
+			// The next view doesn't change what is told of the refusal.
+			shareLoads(t, e, []message.ServerLoad{{Server: message.NewServerKey(1, 100), Pending: 9, Flows: 9}}, nil, now+250*ms)
+			crowding := e.TakeCrowding(nil)
+			require.Equal(t, tt.reason == token.ReasonRoom, len(crowding) == 1)
+			for _, c := range crowding {
+				require.Equal(t, 1, c.Refused)
+				require.Equal(t, 3, c.Zone.Pending)
+			}
 		})
 	}
 }
--- a/coordination/token/service.go
+++ b/coordination/token/service.go
@@ -38,9 +38,8 @@
 	// shownWork is the mean work of the service's requests without what is assumed of any; zero
 	// if most of them are of routes whose work isn't known.
 	shownWork time.Duration
-	// refused counts the flows that were refused for want of room since the last TakeCrowding,
-	// and elsewhere those that went to another zone instead.
-	refused, elsewhere int
+	// crowding holds the flows that found no place since the last TakeCrowding.
+	crowding Crowding
 	// ranks are those of the priorities of the service's routes.
 	ranks map[int]float64
 	// placed is the number of flows placed since the last refresh, at refreshedAt, and rate
