--- a/coordination/token/placement.go
+++ b/coordination/token/placement.go
@@ -149,18 +149,15 @@
 	}
 	if z < 0 && r != nil && avoid == nil {
 		var wait time.Duration
-		if full, wait = e.homeFull(r, s, req.Work); full {
+		if full, wait = e.homeFull(r, s); full {
 			z = s.spill.Take(req, wait, e.rng.Uint64(), now)
 		}
 	}
 	if z >= 0 {
 		b = e.placeIn(&s.zones[z], ChoiceSpilled, req, avoid, now)
 	}
-	switch {
-	case full && b == nil:
-		s.refused++
-	case full:
-		s.elsewhere++
+	if full {
+		s.recordCrowded(b == nil)
 	}
 	return b, full && b == nil
 }
