membership: let silence be decided beside a stop

Callers would see no leader while a control instance restarts: of four, one was killed 1 or 2 s before another was told to stop. The stop lasts until the end of its grace period.

Cause: the stop waits until it is known whether the killed one stays silent. A voter marked as stopping doesn't count towards the 2f + 1 that eviction leaves, so the silent one couldn't lose its vote, and each waited for the other.

Change: a silent voter also loses its vote if 2f + 1 others have votes, with those that stop, and a majority of them answers without these.

Result: TestStopSoonAfterOutage failed before: the stop took the whole 5 s of the simulated grace, and the other two of four voters elected no leader. Now it ends once the silence is decided, 2 s later, and a leader is left.

--- a/coordination/membership/exchange_test.go
+++ b/coordination/membership/exchange_test.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// TestStopSoonAfterOutage guards against a stop that keeps a silent voter from losing its vote: the
+// stop lasted until the end of the grace period and left no leader.
+func TestStopSoonAfterOutage(t *testing.T) {
+	g := newGroup(t, 4, 4, 1, membership.Policy{Tolerated: 1, EvictAfter: evictAfter})
+	list := slices.DeleteFunc(slices.Clone(g.instances), func(in *instance) bool { return in == g.leader() })
+	silent, stopping := list[0], list[1]
+	g.stop(silent)
+	g.run(time.Second)
+	g.beginStop(stopping, nil)
+	require.True(t, g.runUntil(evictAfter, func() bool { return stopping.down }))
+	g.run(leaveTime)
+	require.NotNil(t, g.leader())
+	g.losePower(g.instances[0])
+}
+
 // TestAcknowledgedValuesSurviveExchanges draws exchanges, planned stops, removals for good, outages
 // and lost disks. Every vote belongs to an instance in use, or to one whose successor hasn't had its
 // time (catchUp) yet. So whenever all instances lose power, and the tolerated number of them their
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -297,7 +297,7 @@
 		switch {
 		case !m.Voter(id) && silent, stopped && p.spare(m, id):
 			return id, m.Without(id)
-		case m.Voter(id) && silent && p.spare(m, id) && silence > n.SinceLastContact(oldest):
+		case m.Voter(id) && silent && p.evictable(n, m, id) && silence > n.SinceLastContact(oldest):
 			oldest = id
 		}
 	}
@@ -308,6 +308,25 @@
 	return oldest, m.Without(oldest)
 }
 
+// evictable reports whether enough voters are left without a silent one: enough that last, or enough
+// with those told to stop, if a majority of them answers once these have ended.
+func (p Policy) evictable(n *quorum.Node, m *quorum.Members, id quorum.NodeID) bool {
+	if p.spare(m, id) {
+		return true
+	}
+	left, lasting := 0, 0
+	for other, peer := range m.Nodes {
+		if other == id || !m.Voter(other) || peer.Expendable {
+			continue
+		}
+		left++
+		if !m.Stopping[other] && n.Responding(other, respondWithin) {
+			lasting++
+		}
+	}
+	return left >= p.minVoters() && lasting > (m.Voters()-1)/2
+}
+
 // Demote returns an expendable voter that becomes a learner, since there are enough voters without
 // it, and the members with it as a learner, or nil if there is none.
 func (p Policy) Demote(n *quorum.Node) (id quorum.NodeID, next *quorum.Members) {
