membership: pass no leader's place to the successor of another

Callers would see no leader for good: one of three control instances was removed, its successor took the place of the leader, which was told to stop, and the removed one kept its vote beside. Once the first leader had restarted and another instance lost its disk, one of three voters was left.

Cause: a leader has no answers from itself, so it took itself for silent since its election: for the voter that fell silent before the successor was added, and was told to stop as well.

Change: a voter that answers, as the leader does, didn't fall silent before a learner was added.

Result: TestLeaderStopsBesideReplacement failed before and passes.

--- a/coordination/membership/exchange_test.go
+++ b/coordination/membership/exchange_test.go
@@ -99,6 +99,21 @@
 	}
 }
 
+// TestLeaderStopsBesideReplacement guards against a successor that takes the place of the leader, which
+// was told to stop, instead of that of the removed instance, whose vote is left.
+func TestLeaderStopsBesideReplacement(t *testing.T) {
+	g := newGroup(t, 3, 1, 1, membership.Policy{Tolerated: 1, EvictAfter: evictAfter})
+	lead := g.leader()
+	list := slices.DeleteFunc(slices.Clone(g.instances), func(in *instance) bool { return in == lead })
+	g.replace(list[0], false)
+	g.terminate(lead)
+	g.run(catchUp)
+	require.Zero(t, g.disksLost())
+	g.start(lead)
+	g.loseDisks(list[1])
+	g.recover()
+}
+
 // TestStopSoonAfterOutage guards against a stop that keeps a silent voter from losing its vote: the
 // stop lasted until the end of the grace period and left no leader.
 func TestStopSoonAfterOutage(t *testing.T) {
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -135,11 +135,12 @@
 func vacantPlace(n *quorum.Node, m *quorum.Members, learner quorum.NodeID, zone string) (old quorum.NodeID, wait bool) {
 	var best place
 	for _, id := range sortedNodes(m) {
-		if !m.Voter(id) || !m.Stopping[id] && n.Responding(id, respondWithin) {
+		responding := n.Responding(id, respondWithin)
+		if !m.Voter(id) || !m.Stopping[id] && responding {
 			continue
 		}
 		c := place{
-			before: n.SinceLastContact(id) >= n.SinceAdded(learner), stopping: m.Stopping[id],
+			before: !responding && n.SinceLastContact(id) >= n.SinceAdded(learner), stopping: m.Stopping[id],
 			inZone: m.Nodes[id].Zone == zone, silence: n.SinceLastContact(id),
 		}
 		if !c.stopping && c.silence < int64(replaceAfter) {
