--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -151,7 +151,7 @@
 			old, best = id, c
 		}
 	}
-	return old, wait && !(best.before && best.stopping)
+	return old, wait && (!best.before || !best.stopping)
 }
 
 // place is what is known of a voter whose place may pass to a learner.
