membership: give expendable instances no vote for one that restarts

Callers would see no leader for good: an instance outside the fault budget joined while one of three was restarting and took its place. It went, and another instance lost its disk: one of three voters was left.

Cause: voters that were told to stop don't count as lasting, so that there seemed to be too few votes without the expendable one.

Change: for votes of expendable instances, those of the others that were told to stop count.

Result: TestExpendableInstanceJoinsDuringRestart failed before and passes.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -62,6 +62,18 @@
 	return lasting >= p.minVoters()
 }
 
+// enough reports whether enough voters that aren't expendable have votes without the instance, with
+// those that were told to stop: these may be back at once.
+func (p Policy) enough(m *quorum.Members, id quorum.NodeID) bool {
+	n := 0
+	for other, peer := range m.Nodes {
+		if other != id && m.Voter(other) && !peer.Expendable {
+			n++
+		}
+	}
+	return n >= p.minVoters()
+}
+
 // Join returns the members to propose as the next step towards a vote for an instance, or
 // nil if none can be proposed yet. An instance is added as a learner and becomes a voter once
 // it has caught up: in place of an earlier member with its name or address, or in place of a
@@ -93,7 +105,7 @@
 		return m.Without(old), false
 	case !caughtUp(n, id):
 		return nil, false
-	case peer.Expendable && p.spare(m, old):
+	case peer.Expendable && p.enough(m, old):
 		if old != 0 {
 			return m.Without(old), false
 		}
@@ -312,20 +324,13 @@
 // evictable reports whether enough voters are left without a silent one: enough that last, or enough
 // with those told to stop, if a majority of them answers once these have ended.
 func (p Policy) evictable(n *quorum.Node, m *quorum.Members, id quorum.NodeID) bool {
-	if p.spare(m, id) {
-		return true
-	}
-	left, lasting := 0, 0
+	lasting := 0
 	for other, peer := range m.Nodes {
-		if other == id || !m.Voter(other) || peer.Expendable {
-			continue
-		}
-		left++
-		if !m.Stopping[other] && n.Responding(other, respondWithin) {
+		if m.Voter(other) && !m.Stopping[other] && !peer.Expendable && n.Responding(other, respondWithin) {
 			lasting++
 		}
 	}
-	return left >= p.minVoters() && lasting > (m.Voters()-1)/2
+	return p.spare(m, id) || p.enough(m, id) && lasting > (m.Voters()-1)/2
 }
 
 // Demote returns an expendable voter that becomes a learner, since there are enough voters without
@@ -333,7 +338,7 @@
 func (p Policy) Demote(n *quorum.Node) (id quorum.NodeID, next *quorum.Members) {
 	m := n.Members()
 	for _, id := range sortedNodes(m) {
-		if m.Voter(id) && m.Nodes[id].Expendable && p.spare(m, id) {
+		if m.Voter(id) && m.Nodes[id].Expendable && p.enough(m, id) {
 			next = m.Clone()
 			next.Learners[id] = true
 			return id, next
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -179,3 +179,18 @@
 		})
 	}
 }
+
+// TestExpendableInstanceJoinsDuringRestart guards against an instance outside the fault budget that
+// takes the place of a voter which is about to start again.
+func TestExpendableInstanceJoinsDuringRestart(t *testing.T) {
+	g := newGroup(t, 3, 3, 1, membership.Policy{Tolerated: 1, EvictAfter: evictAfter})
+	g.terminate(g.instances[0])
+	in := g.add("zone-0")
+	in.peer.Expendable = true
+	g.start(in)
+	g.run(time.Second)
+	g.put()
+	require.Len(t, g.acked, 1)
+	g.remove(in)
+	g.losePower(g.instances[1])
+}
