catkinrail-control: let a stop end before a grace period of up to two seconds

With grace_s at 1 s, a stop waited for its vote for all of it, and with less even longer, so that the instance was killed. Nobody saw it: the platform gives 6 s.

Change: a stop waits for half of the grace period at most if that is below 2 s.

Result: TestLeaveTimeoutFitsGrace failed before (1 s of 0.5 s) and passes.

--- a/control/cmd/catkinrail-control/main_test.go
+++ b/control/cmd/catkinrail-control/main_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -42,6 +43,16 @@
 	}
 }
 
+// TestLeaveTimeoutFitsGrace guards against a stop that waits for its vote until it is killed.
+func TestLeaveTimeoutFitsGrace(t *testing.T) {
+	node := standin.Node{Name: "n", Zone: "z", IP: netip.MustParseAddr("127.0.0.2"), Seeds: []netip.Addr{netip.MustParseAddr("127.0.0.3")}, Data: "/nowhere"}
+	for grace, want := range map[string]time.Duration{"0.5": 250 * time.Millisecond, "1": 500 * time.Millisecond, "2": time.Second, "6": 5 * time.Second} {
+		cfg, err := platformSettings("node.yaml", []byte(strings.Replace(node.Settings(), "grace_s: 6", "grace_s: "+grace, 1)))
+		require.NoError(t, err)
+		require.Equal(t, want, cfg.LeaveTimeout, grace)
+	}
+}
+
 // TestStartOnFullDisk guards against processes that end, and are started again and again, while
 // their disk is full.
 func TestStartOnFullDisk(t *testing.T) {
--- a/control/cmd/catkinrail-control/platform.go
+++ b/control/cmd/catkinrail-control/platform.go
@@ -14,7 +14,8 @@
 	// evictAfter is longer than a restart. With an election before it, it is shorter than the
 	// 4 s after which an instance that was removed no longer counts as lost.
 	evictAfter = 3 * time.Second
-	// closeTimeout is the part of the grace period in which an instance ends after it has left.
+	// closeTimeout is the part of the grace period in which an instance ends after it has left, but at
+	// most half of it.
 	closeTimeout = time.Second
 	// missedReports is the number of reports that may be lost before a backend
 	// server counts as silent: one that waited for its answer until reportTimeout,
@@ -36,7 +37,7 @@
 	}
 	cfg := &Settings{
 		Name: n.Name, Zone: n.Zone, Zones: n.Zones, Address: n.Internal.String(), Listen: n.InternalListen.String(), Data: n.Data, Lease: defaultLease,
-		Public: n.Control.String(), EvictAfter: evictAfter, LeaveTimeout: max(n.Grace-closeTimeout, closeTimeout), ToleratedLosses: n.ToleratedLosses,
+		Public: n.Control.String(), EvictAfter: evictAfter, LeaveTimeout: max(n.Grace-closeTimeout, n.Grace/2), ToleratedLosses: n.ToleratedLosses,
 		Expendable:  n.Expendable,
 		SilentAfter: missedReports*n.ReportInterval + reportTimeout, ReuseAfter: n.AddrReuse,
 		WarmupOverage: n.WarmupOverage, WarmupSlack: n.WarmupSlack, Metrics: n.Metrics.String(), TLS: rpc.TLSSettings{TrustedNetwork: true},
