--- a/coordination/quorum/members_test.go
+++ b/coordination/quorum/members_test.go
@@ -1,6 +1,7 @@
 package quorum_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -203,3 +204,27 @@
 	delete(next.Learners, other)
 	return next
 }
+
+// TestNoMessagesWhileSnapshotIsPending guards against a leader that answers each rejection, ever more at
+// a time, while a snapshot that it has sent is lost or on its way.
+func TestNoMessagesWhileSnapshotIsPending(t *testing.T) {
+	g := newTestGroup(t, 3, 1, 0)
+	g.run(3 * time.Second)
+	lead := g.leader()
+	s := lead.node.Snapshot(nil)
+	require.NoError(t, lead.journal.SaveSnapshot(s, lead.node.EntriesAfter(s.Index)))
+	lead.node.Compact(s)
+	g.addLearner(9)
+	sent := 0
+	for end := g.now + int64(time.Second); g.now < end; {
+		g.run(time.Duration(tickInterval))
+		g.inFlight = slices.DeleteFunc(g.inFlight, func(m quorum.Message) bool { return m.Kind == quorum.Install })
+		for _, m := range g.inFlight {
+			if m.To == 9 {
+				sent++
+			}
+		}
+	}
+	require.Equal(t, uint64(0), lead.node.MatchIndex(9))
+	require.Less(t, sent, 2*int(time.Second/quorum.DefaultTiming.HeartbeatInterval))
+}
--- a/coordination/quorum/replicate.go
+++ b/coordination/quorum/replicate.go
@@ -129,7 +129,9 @@
 	p.acked = max(p.acked, m.Sent)
 	if m.Reject {
 		p.next = max(p.match+1, min(m.Index+1, n.log.last()+1))
-		n.sendAppend(m.From)
+		if p.snapshotSentAt == 0 {
+			n.sendAppend(m.From)
+		}
 		return
 	}
 	p.snapshotSentAt = 0
