--- a/control/cmd/catkinrail-control/daemon.go
+++ b/control/cmd/catkinrail-control/daemon.go
@@ -339,7 +339,7 @@
 // with a leader, since it may have been removed in that time. After an upgrade it
 // announces its features in the same way. A leader of an older build does nothing about that;
 // the next leader is asked, or the same one after announceInterval. When the instance is asked
-// to stop, it gives up its vote where that is better and ends the instance.
+// to stop, it leaves and ends the instance.
 func (d *daemon) keepJoined(ctx context.Context, c *core.Core, v *voter.Transport) error {
 	req := &message.JoinRequest{Node: d.identity.Node, Peer: d.self()}
 	joining, cancel := context.WithCancel(ctx)
--- a/coordination/quorum/replicate.go
+++ b/coordination/quorum/replicate.go
@@ -80,8 +80,8 @@
 }
 
 // succeedLeader campaigns soon if the leader has removed itself: it steps down once that is
-// committed, and holds no lease that this node would have to wait for. The members without it are
-// then of its own term; those of an earlier one may only be behind.
+// committed, and holds no lease that this node would have to wait for. Members without the leader that
+// an earlier term set don't count: this node may lack later ones that have it.
 func (n *Node) succeedLeader(leader NodeID) {
 	term, _ := n.log.term(n.membersIndex)
 	left := term == n.hard.Term && n.membersIndex <= n.log.commit && !n.members.Voter(leader)
