review: flows are reset while a host that announced its end lives on

Cause: a call that says that a host leaves counts as its end. Entry instances refuse packets of its flows 2 s later, but a host that hasn't seen the acknowledgement ends only some seconds after its calls.

--- a/review/harness-3/client.go
+++ b/review/harness-3/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -75,20 +76,35 @@
 	}
 }
 
+// flow is an open flow of a client.
+type flow struct {
+	c        *client
+	p        packet
+	ch       chan packet
+	via      netip.AddrPort
+	requests int
+}
+
 // request opens a flow to a route, sends a request and closes the flow. With via, all packets go to that entry
 // instance instead of the one that the routers choose.
 func (c *client) request(route, via netip.AddrPort) outcome {
+	f, o := c.openFlow(route, via)
+	if f == nil {
+		return o
+	}
+	defer f.close()
+	o.text, o.host = f.request()
+	return o
+}
+
+// openFlow opens a flow to a route, see request. It returns nil and the outcome if the flow wasn't opened.
+func (c *client) openFlow(route, via netip.AddrPort) (*flow, outcome) {
 	c.mu.Lock()
 	c.port++
 	src := netip.AddrPortFrom(c.addr, c.port)
 	ch := make(chan packet, 64)
 	c.open[src.Port()] = ch
 	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		delete(c.open, src.Port())
-		c.mu.Unlock()
-	}()
 	o := outcome{client: src}
 	p := packet{flags: flagSYN, src: src, dst: route, seq: rand.Uint32()}
 	begin := time.Now()
@@ -110,40 +126,59 @@
 			break
 		}
 	}
-	switch {
-	case !ok:
-		o.text = "no answer"
-		return o
-	case in.flags&flagRST != 0:
+	if ok && in.flags&flagRST == 0 {
+		p.flags, p.seq, p.ack, p.echo = flagACK, p.seq+1, in.seq+1, in.echo
+		c.send(&p, via)
+		return &flow{c: c, p: p, ch: ch, via: via}, o
+	}
+	o.text = "no answer"
+	if ok {
 		o.text = "reset"
-		return o
 	}
-	p.flags, p.seq, p.ack, p.echo = flagACK, p.seq+1, in.seq+1, in.echo
-	p.data = []byte("request " + src.String())
+	c.forget(src.Port())
+	return nil, o
+}
+
+func (c *client) forget(port uint16) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, port)
+}
+
+// request sends a request and returns its outcome and the host that answered.
+func (f *flow) request() (text, host string) {
+	f.requests++
+	f.p.flags, f.p.data = flagACK, fmt.Appendf(nil, "request %d of %s", f.requests, f.p.src)
 	deadline := time.Now().Add(requestTimeout)
 	for wait := 200 * time.Millisecond; time.Now().Before(deadline); wait *= 2 {
-		c.send(&p, via)
-		answer, ok := await(ch, time.Now().Add(wait), func(in *packet) bool { return len(in.data) > 0 || in.flags&flagRST != 0 })
+		f.c.send(&f.p, f.via)
+		answer, ok := await(f.ch, time.Now().Add(wait), func(in *packet) bool {
+			return in.flags&flagRST != 0 || len(in.data) > 0 && in.ack == f.p.seq+uint32(len(f.p.data))
+		})
 		if !ok {
 			continue
 		}
 		if answer.flags&flagRST != 0 {
-			o.text = "reset of the open flow"
-			return o
+			if answer.sum == 0 {
+				return "reset of the open flow by the system", ""
+			}
+			return "reset of the open flow by its host", ""
 		}
 		host, text, _ := strings.Cut(string(answer.data), " ")
-		if text != string(p.data) {
-			o.text = "answer of another request"
-			return o
+		if text != string(f.p.data) {
+			return "answer of another request", host
 		}
-		o.text, o.host = "served", host
-		p.seq, p.ack, p.echo = p.seq+uint32(len(p.data)), answer.seq+uint32(len(answer.data)), answer.echo
-		p.flags, p.data = flagACK|flagFIN, nil
-		c.send(&p, via)
-		return o
+		f.p.seq, f.p.ack, f.p.echo = f.p.seq+uint32(len(f.p.data)), answer.seq+uint32(len(answer.data)), answer.echo
+		f.p.data = nil
+		return "served", host
 	}
-	o.text = "no answer on the open flow"
-	return o
+	return "no answer on the open flow", ""
+}
+
+func (f *flow) close() {
+	f.p.flags, f.p.data = flagACK|flagFIN, nil
+	f.c.send(&f.p, f.via)
+	f.c.forget(f.p.src.Port())
 }
 
 func await(ch chan packet, until time.Time, match func(*packet) bool) (packet, bool) {
--- a/review/harness-3/host.go
+++ b/review/harness-3/host.go
@@ -8,7 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,7 +32,11 @@
 	ackedAt   time.Time
 	flows     map[netip.AddrPort]*hostFlow
 	taken     []takenFlow
-	stop      chan struct{}
+	// nodes are the addresses of the control instances that it knows, quiet ends its status reports.
+	nodes       []netip.AddrPort
+	own         string
+	stop, quiet chan struct{}
+	endedAt     time.Time
 }
 
 type hostFlow struct {
@@ -41,7 +45,9 @@
 	synAt                time.Time
 	from                 string
 	dst                  netip.AddrPort
-	answered             uint32
+	// next is the sequence number of the next answer, end that of the end of the last request.
+	next, end uint32
+	answer    []byte
 }
 
 // takenFlow is a flow on which the host ran a request.
@@ -51,11 +57,14 @@
 	via           string
 }
 
-func (w *world) startHost(service string, z, n int) (*host, error) {
+func (w *world) startHost(service string, z, n int, nodes ...netip.AddrPort) (*host, error) {
+	if len(nodes) == 0 {
+		nodes = w.controls()
+	}
 	number := uint64(rand.Uint32())
 	h := &host{
 		w: w, id: fmt.Sprintf("i-%08x", number), number: number, service: service, zone: zones[z], addr: w.addr(z, n, hostPort),
-		born: time.Now().UnixMilli(), state: "ready", flows: map[netip.AddrPort]*hostFlow{}, stop: make(chan struct{}),
+		born: time.Now().UnixMilli(), state: "ready", flows: map[netip.AddrPort]*hostFlow{}, nodes: nodes, stop: make(chan struct{}), quiet: make(chan struct{}),
 	}
 	var err error
 	if h.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(h.addr)); err != nil {
@@ -85,8 +94,7 @@
 // report sends status reports at the interval. It follows the address in the reply until a report fails there.
 func (h *host) report() {
 	defer h.w.wg.Done()
-	list := h.w.controls()
-	next, own := rand.IntN(len(list)), ""
+	list, next, own := h.nodes, slices.Index(zones, h.zone), ""
 	for sequence := 1; ; sequence++ {
 		h.mu.Lock()
 		state := h.state
@@ -114,6 +122,7 @@
 				own = strings.TrimPrefix(r.HeartbeatURL, "http://")
 			}
 			h.mu.Lock()
+			h.own = own
 			if state == "draining" && h.ackedAt.IsZero() {
 				h.ackedAt = time.Now()
 				h.mu.Unlock()
@@ -127,7 +136,7 @@
 		select {
 		case <-h.w.ctx.Done():
 			return
-		case <-h.stop:
+		case <-h.quiet:
 			return
 		case <-time.After(wait):
 		}
@@ -142,6 +151,39 @@
 	h.w.note("host %s: begins to drain", h.id)
 }
 
+// leave ends the status reports, sends that the host leaves, to further nodes while there is no answer, and ends the
+// host: at once after an answer, or else after a time.
+func (h *host) leave(after time.Duration) {
+	close(h.quiet)
+	h.mu.Lock()
+	targets := []string{h.own}
+	h.mu.Unlock()
+	for _, n := range h.nodes {
+		if n.String() != targets[0] {
+			targets = append(targets, n.String())
+		}
+	}
+	answered := false
+	for _, addr := range targets {
+		h.w.note("host %s: sends to %s that it leaves", h.id, addr)
+		status, _, err := post("http://"+addr+"/Instances.Leave/"+h.id, fmt.Appendf(nil, `{"born":%d}`, h.born))
+		if err == nil && status/100 == 2 {
+			answered = true
+			h.w.note("host %s: %s acknowledges that it leaves", h.id, addr)
+			break
+		}
+		h.w.note("host %s: no answer from %s", h.id, addr)
+	}
+	if !answered {
+		h.w.sleep(after)
+	}
+	h.mu.Lock()
+	h.endedAt = time.Now()
+	h.mu.Unlock()
+	h.w.note("host %s: ends", h.id)
+	close(h.stop)
+}
+
 func (h *host) drainedAt() time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -187,7 +229,8 @@
 			return
 		}
 		if f == nil || f.clientSeq != p.seq {
-			f = &hostFlow{seq: rand.Uint32(), clientSeq: p.seq, synAt: now, from: from.String(), dst: p.dst}
+			f = &hostFlow{seq: rand.Uint32(), clientSeq: p.seq, end: p.seq + 1, synAt: now, from: from.String(), dst: p.dst}
+			f.next = f.seq + 1
 			h.flows[p.src] = f
 			if p.ack > 0 {
 				h.w.note("host %s: takes the opening packet %d of %s to %s", h.id, p.ack, p.src, p.dst)
@@ -205,14 +248,15 @@
 			f.open = true
 		}
 		if f.open && len(p.data) > 0 {
-			if f.answered != p.seq+1 {
-				f.answered = p.seq + 1
+			if p.seq == f.end {
+				f.next += uint32(len(f.answer))
+				f.end, f.answer = p.seq+uint32(len(p.data)), []byte(h.id+" "+string(p.data))
 				h.taken = append(h.taken, takenFlow{client: p.src, route: p.dst, synAt: f.synAt, runAt: now, via: f.from})
 			}
-			h.send(p, f, flagACK, f.seq+1, p.seq+uint32(len(p.data)), []byte(h.id+" "+string(p.data)))
+			h.send(p, f, flagACK, f.next, f.end, f.answer)
 		}
 		if p.flags&flagFIN != 0 {
-			h.send(p, f, flagACK|flagFIN, f.seq+1, p.seq+uint32(len(p.data))+1, nil)
+			h.send(p, f, flagACK|flagFIN, f.next+uint32(len(f.answer)), p.seq+uint32(len(p.data))+1, nil)
 			delete(h.flows, p.src)
 		}
 	}
@@ -229,5 +273,3 @@
 	defer h.mu.Unlock()
 	return append([]takenFlow(nil), h.taken...)
 }
-
-func port(p uint16) string { return strconv.Itoa(int(p)) }
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(w *world, trouble bool) error{
 	"unreadable-id": unreadableID,
 	"dropped-route": droppedRoute,
+	"lost-leave":    lostLeave,
 }
 
 func main() {
