review: a replaced core machine costs the quorum if the leader is killed

A successor that starts before the removed machine is known silent becomes a further voter. Only the leader can take the removed machine's vote, and with the leader's process down there is none. A config is acknowledged as soon as a leader is back; if that machine then loses its disk, two of four votes are gone for good.

The scripts hold a port of their range of addresses now: two that ran side by side had chosen the same range.

--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -27,6 +27,7 @@
 	"unreadable-id": unreadableID,
 	"dropped-route": droppedRoute,
 	"lost-leave":    lostLeave,
+	"replaced-core": replacedCore,
 }
 
 func main() {
--- a/review/harness-3/world.go
+++ b/review/harness-3/world.go
@@ -40,6 +40,7 @@
 	cancel context.CancelFunc
 	dir    string
 	net    int
+	held   net.Listener
 	runs   map[string][]string
 	begin  time.Time
 
@@ -86,8 +87,22 @@
 	return nil, fmt.Errorf("no free range of loopback addresses")
 }
 
-// free reports whether nothing listens in the range of addresses yet.
+// free reports whether nothing listens in the range of addresses yet. If so, it keeps a port of the range, so that no
+// other script takes the range.
 func (w *world) free() bool {
+	held, err := net.Listen("tcp", w.addr(0, 250, controlPort).String())
+	if err != nil {
+		return false
+	}
+	w.held = held
+	if w.unused() {
+		return true
+	}
+	held.Close()
+	return false
+}
+
+func (w *world) unused() bool {
 	for z := range zones {
 		l, err := net.Listen("tcp", w.addr(z, 100, controlPort).String())
 		if err != nil {
@@ -356,9 +371,13 @@
 
 // put sends a config to the control instances in turn until one acknowledges it.
 func (w *world) put(version int, config string) (time.Time, error) {
+	return w.putAt(w.controls(), version, config)
+}
+
+func (w *world) putAt(nodes []netip.AddrPort, version int, config string) (time.Time, error) {
 	w.note("operator: sends version %d", version)
 	for i := 0; i < 60; i++ {
-		addr := w.controls()[i%len(zones)]
+		addr := nodes[i%len(nodes)]
 		status, _, err := post("http://"+addr.String()+"/Config.Put", []byte(config))
 		if err == nil && status == http.StatusOK {
 			at := time.Now()
@@ -388,6 +407,7 @@
 		}
 	}
 	w.wg.Wait()
+	w.held.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(w.dir)
 	}
