review: a stop while another core machine is frozen costs the quorum

Evict takes the vote of a silent voter although another one is stopping, since the stopping one is counted among the voters that are enough. Once that one has ended its vote stays, and of three voters two hold each acknowledgement. The loss of one disk then leaves one of three.

The cases 12 to 14 move by one place.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x target/review-3/harness-3 ] || { echo "run review/build-3.sh first"; exit 2; }
-exec target/review-3/harness-3 lost-leave "$here/record.txt"
+exec target/review-3/harness-3 dropped-route "$here/record.txt"
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -28,6 +28,7 @@
 	"dropped-route": droppedRoute,
 	"lost-leave":    lostLeave,
 	"replaced-core": replacedCore,
+	"stopped-core":  stoppedCore,
 }
 
 func main() {
--- a/review/harness-3/replaced.go
+++ b/review/harness-3/replaced.go
@@ -104,28 +104,11 @@
 // leader loses its disk right after an acknowledgement. With SKIP=kill no process is killed. With SUCCESSOR=first the
 // successor starts before the other machine is removed.
 func replacedCore(w *world, trouble bool) error {
-	if err := w.startAll(0); err != nil {
-		return err
-	}
-	var list []*core
-	for z, zone := range zones {
-		list = append(list, &core{process: w.procs["core-"+zone], addr: w.addr(z, 100, controlPort)})
-	}
-	if _, err := w.put(1, config(1, route("r-logbook", logbookRoute, logbook))); err != nil {
+	list, err := w.startCore()
+	if err != nil {
 		return err
 	}
-	w.sleep(contact + time.Second)
-	for _, c := range list {
-		select {
-		case <-c.done:
-			return fmt.Errorf("machine %s doesn't run", c.name)
-		default:
-		}
-		if err := w.laterStart(c.process); err != nil {
-			return err
-		}
-	}
-	list, err := w.replaceFollower(list, trouble)
+	list, err = w.replaceFollower(list, trouble)
 	if err != nil {
 		return err
 	}
@@ -146,6 +129,39 @@
 	return w.readBack(nodes)
 }
 
+// startCore starts the core machines, waits until all are in touch, and sends the first config.
+func (w *world) startCore() ([]*core, error) {
+	if err := w.startAll(0); err != nil {
+		return nil, err
+	}
+	var list []*core
+	for z, zone := range zones {
+		list = append(list, &core{process: w.procs["core-"+zone], addr: w.addr(z, 100, controlPort)})
+	}
+	if _, err := w.put(1, config(1, route("r-logbook", logbookRoute, logbook))); err != nil {
+		return nil, err
+	}
+	w.sleep(contact + time.Second)
+	for _, c := range list {
+		select {
+		case <-c.done:
+			return nil, fmt.Errorf("machine %s doesn't run", c.name)
+		default:
+		}
+		if err := w.laterStart(c.process); err != nil {
+			return nil, err
+		}
+	}
+	return list, nil
+}
+
+// successor returns a new core machine in a zone, not started yet.
+func (w *world) successor(z int) (*core, error) {
+	c := &core{addr: w.addr(z, 102, controlPort), process: &process{name: "core-" + zones[z] + "-2", role: "control"}}
+	c.file = filepath.Join(w.dir, c.name+".yaml")
+	return c, os.WriteFile(c.file, []byte(w.settings(c.name, "control", "core", zones[z], z, 102, false)), 0o640)
+}
+
 // replaceFollower removes a machine that doesn't lead and starts another one in its zone. It returns all machines.
 func (w *world) replaceFollower(list []*core, trouble bool) ([]*core, error) {
 	leader, err := w.leading(list)
@@ -157,9 +173,8 @@
 		z = 1
 	}
 	removed := list[z]
-	successor := &core{addr: w.addr(z, 102, controlPort), process: &process{name: "core-" + zones[z] + "-2", role: "control"}}
-	successor.file = filepath.Join(w.dir, successor.name+".yaml")
-	if err := os.WriteFile(successor.file, []byte(w.settings(successor.name, "control", "core", zones[z], z, 102, false)), 0o640); err != nil {
+	successor, err := w.successor(z)
+	if err != nil {
 		return nil, err
 	}
 	remove := func() error {
