--- a/review/harness-3/stopped.go
+++ b/review/harness-3/stopped.go
@@ -17,8 +17,12 @@
 )
 
 // stoppedCore replaces a core machine by plan, the new one first, while another one is frozen. Once the old one has
-// ended, the leader loses its disk right after an acknowledgement. With SKIP=freeze no machine is frozen.
+// ended, the leader loses its disk right after an acknowledgement. With SKIP=freeze no machine is frozen. With CORES=4
+// there are four core machines and two are frozen.
 func stoppedCore(w *world, trouble bool) error {
+	if os.Getenv("CORES") == "4" {
+		zones = append(zones, "zone-d")
+	}
 	list, err := w.startCore()
 	if err != nil {
 		return err
@@ -33,7 +37,13 @@
 			followers = append(followers, z)
 		}
 	}
-	removed, frozen := list[followers[0]], list[followers[1]]
+	removed := list[followers[0]]
+	var frozen []*core
+	if trouble && os.Getenv("SKIP") != "freeze" {
+		for _, z := range followers[1:] {
+			frozen = append(frozen, list[z])
+		}
+	}
 	successor, err := w.successor(followers[0])
 	if err != nil {
 		return err
@@ -44,12 +54,12 @@
 	list = append(list, successor)
 	w.sleep(catchUp + 500*time.Millisecond)
 	froze := time.Now()
-	freezes := trouble && os.Getenv("SKIP") != "freeze"
-	if freezes {
-		w.note("machine %s: is frozen", frozen.name)
-		if err := frozen.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+	for _, c := range frozen {
+		w.note("machine %s: is frozen", c.name)
+		if err := c.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
 			return err
 		}
+		c.ended = true // Asked for nothing meanwhile.
 	}
 	w.sleep(stopAfter)
 	w.note("machine %s: SIGTERM, for good", removed.name)
@@ -62,20 +72,19 @@
 		return errors.New("the process that got SIGTERM didn't end in time")
 	}
 	removed.ended = true
-	if freezes {
-		frozen.ended = true // Asked for nothing meanwhile.
-	}
 	nodes, err := w.loseAfterAck(list, trouble)
 	if err != nil {
 		return err
 	}
-	if freezes {
+	if len(frozen) > 0 {
 		w.sleep(time.Until(froze.Add(frozenFor)))
-		w.note("machine %s: goes on after %d ms", frozen.name, time.Since(froze).Milliseconds())
-		if err := frozen.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+	}
+	for _, c := range frozen {
+		w.note("machine %s: goes on after %d ms", c.name, time.Since(froze).Milliseconds())
+		if err := c.cmd.Process.Signal(syscall.SIGCONT); err != nil {
 			return err
 		}
-		nodes = append(nodes, frozen.addr)
+		nodes = append(nodes, c.addr)
 	}
 	w.note("all core machines run from now on")
 	w.sleep(recovery)
