membership: count stopping voters as gone and silent ones as back

A core instance was exchanged by plan while another one was frozen for 4 s, and the leader lost its disk after an acknowledgement.

Cause: a stop kept its vote because a frozen voter counted as lost (tolerant), and an eviction took the frozen voter's vote because the stopping one counted as lasting (evictable). The frozen one was back with its disk and had no vote.

Change: both ask one count without a clock (margin): stopping voters are gone, silent ones are back with their disks, handed-over votes are on the heir's disk. No step lowers it to zero or leaves fewer answering votes than a majority. Votes of instances that end go first, those that they answer for before their own. The silent vote of an even number goes after 1 s. A silent voter stays a learner and takes the place of a voter that stops; candidates ask learners too, which may answer for a voter. A vote is handed over before a stop times out although a leader is known.

--- a/coordination/membership/adjust.go
+++ b/coordination/membership/adjust.go
@@ -1,17 +1,13 @@
 package membership
 
 import (
-	"maps"
-	"slices"
-
 	"catkinrail.example/catkinrail/coordination/quorum"
 )
 
-// Evict returns a member to remove because it is silent, and the members without it, or nil if
-// there is none. A voter is removed only while there are enough voters without it: at once if it was
-// told to stop and no other voter answers for it; if another one does, once the rest bears the tolerated
-// losses; else if it has been silent for EvictAfter, and if, counting those that don't answer as lost, the
-// quorum would not survive a further removal and the loss of the tolerated number of disks.
+// Evict returns a member whose vote is taken because it is silent, or which is removed, and the members
+// afterwards, or nil if there is none. A voter that was told to stop is never back, so its vote goes first: at
+// once if no other voter answers for it; if another one does, once the rest bears the tolerated losses. One that
+// is only silent may be back with its disk, see silentVoter and withoutVote.
 // So an acknowledgement always stands for more copies than disks may be lost, however long an outage
 // lasts, and instances that never come back don't lower the tolerance for good.
 func (p Policy) Evict(n *quorum.Node) (id quorum.NodeID, next *quorum.Members) {
@@ -19,82 +15,101 @@
 		return 0, nil
 	}
 	m := n.Members()
-	var oldest quorum.NodeID
-	for _, id := range sortedNodes(m) {
-		silence := n.SinceLastContact(id)
-		silent := id != n.ID() && silence >= int64(p.EvictAfter)
-		stopped := m.Stopping[id] && !n.Responding(id, respondWithin)
-		switch {
-		case !m.Voter(id) && silent, stopped && n.Holder(id) == 0 && p.spare(m, id):
-			return id, m.Without(id)
-		case m.Voter(id) && silent && p.evictable(n, m, id) && silence > n.SinceLastContact(oldest):
-			oldest = id
-		}
+	if gone := p.goneVoter(n, m); gone != 0 {
+		return gone, m.Without(gone)
 	}
-	if held := p.removableHeld(n, m); held != 0 {
-		return held, m.Without(held)
+	if silent := p.silentVoter(n, m, n.SinceLastContact); silent != 0 {
+		return silent, withoutVote(n, m, silent)
 	}
-	voters := m.Voters()
-	if oldest == 0 || voters-notResponding(n, m)-p.Tolerated-removalsAtOnce > voters/2 {
-		return 0, nil
+	if gone := p.goneLearner(n, m); gone != 0 {
+		return gone, m.Without(gone)
 	}
-	return oldest, m.Without(oldest)
+	return 0, nil
 }
 
-// removableHeld returns a voter for which another one answers and without which the others bear the tolerated
-// losses, or zero if there is none: one of those of the heir with the most votes.
-func (p Policy) removableHeld(n *quorum.Node, m *quorum.Members) quorum.NodeID {
-	var best quorum.NodeID
-	most, carried := 0, votes(n, m)
+// silentVoter returns the voter that loses its vote because it has been silent the longest, or zero if there is
+// none. Only votes beyond those that bear the tolerated losses, without the voters that were told to stop, are
+// taken, and only if, counting those that don't answer as lost, the quorum would not survive a further removal
+// and the loss of the tolerated number of disks. The last vote of an even number adds none to the losses that
+// are borne, so that of a silent voter is taken after replaceAfter; the others after EvictAfter.
+func (p Policy) silentVoter(n *quorum.Node, m *quorum.Members, silence func(quorum.NodeID) int64) quorum.NodeID {
+	voters := m.Voters()
+	if voters-notResponding(n, m)-p.Tolerated-removalsAtOnce > voters/2 {
+		return 0
+	}
+	limit := p.EvictAfter
+	if lasting(m)%2 == 0 {
+		limit = min(limit, replaceAfter)
+	}
+	var oldest quorum.NodeID
 	for _, id := range sortedNodes(m) {
-		holder := n.Holder(id)
-		if m.Stopping[id] && holder != 0 && carried[holder] > most && p.spare(m, id) && p.bears(n, m.Without(id)) {
-			best, most = id, carried[holder]
+		candidate := m.Voter(id) && !m.Stopping[id] && id != n.ID() && !n.Responding(id, respondWithin) && silence(id) >= int64(limit)
+		if candidate && (oldest == 0 || silence(id) > silence(oldest)) && carried(n, m, id) == 1 && p.removable(n, m, id) {
+			oldest = id
 		}
 	}
-	return best
+	return oldest
 }
 
-// votes returns the number of votes that each voter which answers carries: its own and those that were handed
-// to it.
-func votes(n *quorum.Node, m *quorum.Members) map[quorum.NodeID]int {
-	carried := map[quorum.NodeID]int{}
+// withoutVote returns the members without the vote of a silent voter. It stays as a learner, which may be back
+// with its disk, unless another member was added since it fell silent: that is taken for its successor.
+func withoutVote(n *quorum.Node, m *quorum.Members, silent quorum.NodeID) *quorum.Members {
 	for id := range m.Nodes {
-		if !m.Voter(id) {
+		if id != silent && n.AddedSince(id, silent) {
+			return m.Without(silent)
+		}
+	}
+	return m.WithLearner(silent)
+}
+
+// goneLearner returns a learner to remove, or zero if there is none. One that is silent may be back with its disk,
+// and stands by for a voter that is told to stop. Those that have been silent the longest go once more than
+// EvictAfter has passed and there are more of them than voters.
+func (p Policy) goneLearner(n *quorum.Node, m *quorum.Members) quorum.NodeID {
+	silent := 0
+	var oldest quorum.NodeID
+	for _, id := range sortedNodes(m) {
+		silence := n.SinceLastContact(id)
+		if !m.Learners[id] || id == n.ID() || silence < int64(p.EvictAfter) {
 			continue
 		}
-		holder := id
-		if other := n.Holder(id); other != 0 {
-			holder = other
+		if m.Nodes[id].Expendable {
+			return id
 		}
-		if n.Responding(holder, respondWithin) {
-			carried[holder]++
+		silent++
+		if oldest == 0 || silence > n.SinceLastContact(oldest) {
+			oldest = id
 		}
 	}
-	return carried
-}
-
-// bears reports whether a quorum of the members survives the loss of the tolerated number of disks, those with
-// the most votes.
-func (p Policy) bears(n *quorum.Node, m *quorum.Members) bool {
-	left := 0
-	list := slices.Sorted(maps.Values(votes(n, m)))
-	for _, v := range list[:max(0, len(list)-p.Tolerated)] {
-		left += v
+	if silent <= m.Voters() {
+		return 0
 	}
-	return 2*left > m.Voters()
+	return oldest
 }
 
-// evictable reports whether enough voters are left without a silent one: enough that last, or enough
-// with those told to stop, if a majority of them answers once these have ended.
-func (p Policy) evictable(n *quorum.Node, m *quorum.Members, id quorum.NodeID) bool {
-	lasting := 0
-	for other, peer := range m.Nodes {
-		if m.Voter(other) && !m.Stopping[other] && !peer.Expendable && n.Responding(other, respondWithin) {
-			lasting++
+// goneVoter returns a voter that is never back and can be removed, or zero if there is none: one that was told to
+// stop and has ended, else one for which another one answers. Of the latter, those of an heir that was told to stop
+// go first, then those of the heir with the most votes.
+func (p Policy) goneVoter(n *quorum.Node, m *quorum.Members) quorum.NodeID {
+	var best quorum.NodeID
+	most := 0
+	for _, id := range sortedNodes(m) {
+		holder := n.Holder(id)
+		if !m.Stopping[id] || n.Responding(id, respondWithin) || !p.removable(n, m, id) {
+			continue
+		}
+		if holder == 0 {
+			return id
+		}
+		votes := carried(n, m, holder)
+		if m.Stopping[holder] {
+			votes += m.Voters()
+		}
+		if votes > most {
+			best, most = id, votes
 		}
 	}
-	return p.spare(m, id) || p.enough(m, id) && lasting > (m.Voters()-1)/2
+	return best
 }
 
 // Demote returns an expendable voter that becomes a learner, since there are enough voters without
@@ -103,9 +118,7 @@
 	m := n.Members()
 	for _, id := range sortedNodes(m) {
 		if m.Voter(id) && m.Nodes[id].Expendable && p.enough(m, id) {
-			next = m.Clone()
-			next.Learners[id] = true
-			return id, next
+			return id, m.WithLearner(id)
 		}
 	}
 	return 0, nil
--- a/coordination/membership/leave.go
+++ b/coordination/membership/leave.go
@@ -3,8 +3,9 @@
 import "catkinrail.example/catkinrail/coordination/quorum"
 
 // Leave returns the members to propose as the next step of an instance that is told to stop, or
-// nil if none can be proposed yet. It gives up its vote if enough others are left, or passes it
-// to a learner. Otherwise it is marked, so that the next learner takes its place. It joins again
+// nil if none can be proposed yet. It gives up its vote if enough others are left and a majority of them
+// answers, or passes it to a learner, if need be to one that is silent but may be back with its disk.
+// Otherwise, or while it answers for others, it is marked, so that the next learner takes its place. It joins again
 // if it comes back. done is set once the outcome is committed and nothing is left to wait for, such
 // as a voter that may be silent for good, or a learner that may take a place.
 func (p Policy) Leave(n *quorum.Node, id quorum.NodeID) (next *quorum.Members, done bool) {
@@ -18,12 +19,21 @@
 	if !m.Voter(id) {
 		return m.Without(id), false
 	}
-	spare := p.spare(m, id)
-	if spare && p.tolerant(n, m.Without(id)) {
-		return m.Without(id), false
+	if gone := p.goneVoter(n, m); gone != 0 && gone != id {
+		return m.Without(gone), false
 	}
-	if heir := successor(n, m, id); heir != 0 && !spare {
-		return promote(m, heir, id), false
+	spare := p.spare(m, id)
+	if carried(n, m, id) == 1 {
+		if p.removable(n, m.WithStopping(id, true), id) {
+			return m.Without(id), false
+		}
+		heir := successor(n, m, id)
+		if heir == 0 {
+			heir = p.silentLearner(n, m, id)
+		}
+		if heir != 0 && !spare && majorityAnswers(n, promote(m, heir, id)) {
+			return promote(m, heir, id), false
+		}
 	}
 	if !m.Stopping[id] {
 		return m.WithStopping(id, true), false
@@ -59,13 +69,6 @@
 	return answering > m.Voters()/2
 }
 
-// tolerant reports whether a quorum of the members survives the loss of the tolerated number of
-// disks beside the voters that don't answer.
-func (p Policy) tolerant(n *quorum.Node, m *quorum.Members) bool {
-	voters := m.Voters()
-	return voters-notResponding(n, m)-p.Tolerated > voters/2
-}
-
 // notResponding returns the number of voters that don't answer.
 func notResponding(n *quorum.Node, m *quorum.Members) int {
 	lost := 0
@@ -90,6 +93,44 @@
 	return 0
 }
 
+// silentLearner returns the learner that fell silent last and may be back with its disk, while the voter whose place
+// it takes may not, or zero if there is none. After EvictAfter only the zones tell: that of the voter has a further
+// instance, its successor, and that of the learner has none.
+func (p Policy) silentLearner(n *quorum.Node, m *quorum.Members, leaving quorum.NodeID) (last quorum.NodeID) {
+	for _, id := range sortedNodes(m) {
+		silence := n.PossibleSilence(id)
+		if !m.Learners[id] || m.Nodes[id].Expendable || n.Responding(id, respondWithin) {
+			continue
+		}
+		recent := silence < int64(p.EvictAfter)
+		standsBy := recent || hasSuccessor(m, leaving) && !answersInZone(n, m, id, leaving)
+		if standsBy && (last == 0 || silence < n.PossibleSilence(last)) {
+			last = id
+		}
+	}
+	return last
+}
+
+// hasSuccessor reports whether another member in the zone of an instance wasn't told to stop.
+func hasSuccessor(m *quorum.Members, id quorum.NodeID) bool {
+	for other, peer := range m.Nodes {
+		if other != id && !m.Stopping[other] && peer.Zone == m.Nodes[id].Zone {
+			return true
+		}
+	}
+	return false
+}
+
+// answersInZone reports whether another member in the zone of an instance, beside the one that leaves, answers.
+func answersInZone(n *quorum.Node, m *quorum.Members, id, leaving quorum.NodeID) bool {
+	for other, peer := range m.Nodes {
+		if other != id && other != leaving && peer.Zone == m.Nodes[id].Zone && n.Responding(other, respondWithin) {
+			return true
+		}
+	}
+	return false
+}
+
 // succeedsSilent reports whether a voter other than the one that leaves fell silent before the
 // learner was added.
 func succeedsSilent(n *quorum.Node, m *quorum.Members, learner, leaving quorum.NodeID) bool {
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -53,13 +53,18 @@
 // spare reports whether the quorum bears the tolerated losses without the vote of the instance,
 // and without those that may be lost at any time.
 func (p Policy) spare(m *quorum.Members, id quorum.NodeID) bool {
-	lasting := 0
-	for other, peer := range m.Nodes {
-		if other != id && m.Voter(other) && !m.Stopping[other] && !peer.Expendable {
-			lasting++
+	return lasting(m.Without(id)) >= p.minVoters()
+}
+
+// lasting returns the number of voters without those that were told to stop or may be lost at any time.
+func lasting(m *quorum.Members) int {
+	n := 0
+	for id, peer := range m.Nodes {
+		if m.Voter(id) && !m.Stopping[id] && !peer.Expendable {
+			n++
 		}
 	}
-	return lasting >= p.minVoters()
+	return n
 }
 
 // enough reports whether enough voters that aren't expendable have votes without the instance, with
@@ -77,7 +82,8 @@
 // Join returns the members to propose as the next step towards a vote for an instance, or
 // nil if none can be proposed yet. An instance is added as a learner and becomes a voter once
 // it has caught up: in place of an earlier member with its name or address, or in place of a
-// voter that was told to stop or has been silent for replaceAfter, or else as a further voter. An
+// voter that was told to stop or has been silent for replaceAfter, or else as a further voter. A silent
+// voter whose place was taken may stay a learner, see withoutVote. An
 // expendable instance stays a learner while there are enough voters without it. A voter whose name
 // or addresses changed is updated, and one that is back after a stop is no longer marked. done is
 // set if nothing is left to do.
@@ -119,11 +125,14 @@
 		case wait:
 			return nil, false
 		}
+		if old != 0 && !m.Stopping[old] {
+			m, old = withoutVote(n, m, old), 0
+		}
 	}
 	return promote(m, id, old), false
 }
 
-// promote returns the members with a learner as a voter, in place of another unless that is zero.
+// promote returns the members with a learner as a voter, without another one unless that is zero.
 func promote(m *quorum.Members, id, old quorum.NodeID) *quorum.Members {
 	next := m.Without(old)
 	delete(next.Learners, id)
--- a/coordination/membership/stop.go
+++ b/coordination/membership/stop.go
@@ -10,6 +10,10 @@
 // voter. It is longer than an election.
 const handOverAfter = time.Second
 
+// handOverTime is the time before the end of a stop from which an instance hands its vote over although a leader
+// is known, which couldn't decide. It is several times as long as a handover takes.
+const handOverTime = 2 * time.Second
+
 // Stop is the state of an instance that was told to stop.
 type Stop struct {
 	// Timeout is the longest time for which the stop waits.
@@ -38,12 +42,13 @@
 )
 
 // Next returns the next step. It doesn't end for want of a leader: a split may end within the timeout, and
-// until then the vote can be handed over.
+// until then the vote can be handed over. A leader that reaches too few voters may be unable to decide, too; it is
+// given time to remove a vote that was handed over, since the heir's disk carries one more until then.
 func (s *Stop) Next() StopStep {
 	switch {
-	case s.Decided || s.HandedOver || s.Waited >= s.Timeout:
+	case s.Decided || s.Waited >= s.Timeout, s.HandedOver && s.SinceLeader >= handOverAfter:
 		return End
-	case s.SinceLeader >= handOverAfter:
+	case s.SinceLeader >= handOverAfter, s.Waited >= s.Timeout-min(handOverTime, s.Timeout/2):
 		return HandOver
 	}
 	return AskLeader
--- a/coordination/quorum/election.go
+++ b/coordination/quorum/election.go
@@ -85,7 +85,8 @@
 	}
 	logTerm, _ := n.log.term(n.log.last())
 	for _, id := range n.members.sorted() {
-		if id != n.id && n.members.Voter(id) {
+		// A learner may answer for a voter that has handed its vote over.
+		if id != n.id {
 			n.send(Message{Kind: kind, To: id, Term: term, Index: n.log.last(), LogTerm: logTerm})
 		}
 	}
--- a/coordination/quorum/message.go
+++ b/coordination/quorum/message.go
@@ -154,23 +154,33 @@
 
 // Without returns a copy without the node.
 func (m *Members) Without(id NodeID) *Members {
-	c := m.Clone()
+	c := m.WithStopping(id, false)
 	delete(c.Nodes, id)
 	delete(c.Learners, id)
-	delete(c.Stopping, id)
+	return c
+}
+
+// WithLearner returns a copy in which the node is a learner.
+func (m *Members) WithLearner(id NodeID) *Members {
+	c := m.WithStopping(id, false)
+	c.Learners[id] = true
 	return c
 }
 
 // WithStopping returns a copy in which the node is marked as stopping, or no longer.
 func (m *Members) WithStopping(id NodeID, stopping bool) *Members {
 	c := m.Clone()
+	if c.Stopping == nil {
+		c.Stopping = map[NodeID]bool{}
+	}
 	delete(c.Stopping, id)
 	if stopping {
-		if c.Stopping == nil {
-			c.Stopping = map[NodeID]bool{}
-		}
 		c.Stopping[id] = true
 	}
+	if len(c.Stopping) == 0 {
+		// An empty map isn't encoded, so that a decoded copy has none.
+		c.Stopping = nil
+	}
 	return c
 }
 
--- a/coordination/quorum/node.go
+++ b/coordination/quorum/node.go
@@ -359,23 +359,28 @@
 }
 
 // replacing returns the members between two sets of members in which a voter takes the place of
-// another: with both of them.
+// another: with both of them. The leaving one is marked as stopping if it isn't a learner afterwards.
 func replacing(from, to *Members, joining, leaving NodeID) *Members {
-	m := to.Clone()
+	m := to.WithStopping(leaving, !to.Learners[leaving])
 	m.Nodes[leaving] = from.Nodes[leaving]
+	delete(m.Learners, leaving)
 	m.Joining, m.Leaving = map[NodeID]bool{joining: true}, map[NodeID]bool{leaving: true}
 	return m
 }
 
-// completeReplacement removes a voter whose successor has been added, once the addition is
-// committed.
+// completeReplacement takes the vote of a voter whose successor has been added, once the addition is
+// committed. The voter stays a learner unless it is marked as stopping.
 func (n *Node) completeReplacement() {
 	if !n.members.joint() || n.membersIndex > n.log.commit || !n.committedOwnTerm() {
 		return
 	}
 	m := n.members.Clone()
 	for id := range n.members.Leaving {
-		m = m.Without(id)
+		if m.Stopping[id] {
+			m = m.Without(id)
+		} else {
+			m.Learners[id] = true
+		}
 	}
 	m.Joining, m.Leaving = nil, nil
 	if _, _, err := n.propose(Entry{Kind: EntryMembers, Members: m}); err != nil {
--- a/coordination/quorum/silence.go
+++ b/coordination/quorum/silence.go
@@ -138,6 +138,20 @@
 	return n.now - last
 }
 
+// SinceElection returns, on the leader, the time since its election.
+func (n *Node) SinceElection() time.Duration {
+	return time.Duration(n.now - n.electedAt)
+}
+
+// PossibleSilence is SinceLastContact with silence from before the election, whether or not this leader has
+// asked for long enough.
+func (n *Node) PossibleSilence(id NodeID) int64 {
+	if n.progress[id] == nil {
+		return 0
+	}
+	return n.now - n.lastHeard(id)
+}
+
 // SilentSinceBefore reports, on the leader, whether a node was last heard before another was added. If the
 // leader doesn't know when that was, it takes the time of its election.
 func (n *Node) SilentSinceBefore(id, added NodeID) bool {
@@ -150,3 +164,10 @@
 	}
 	return n.lastHeard(id) <= at
 }
+
+// AddedSince reports, on the leader, whether a node is known to have been added after the other one was last
+// heard.
+func (n *Node) AddedSince(added, id NodeID) bool {
+	p := n.progress[added]
+	return p != nil && p.addedAt != 0 && n.lastHeard(id) <= p.addedAt
+}
