control: hold changes while an inherited silence isn't confirmed

A core instance was removed and replaced, the leader was killed and back, and lost its disk right after it had acknowledged a configuration.

Cause: the new leader confirms a silence that it inherited for 0.5 to 1.5 s before it takes the vote, and acknowledged changes meanwhile with copies that counted the removed voter's: three of four, of which one disk was lost.

Change: after an election, changes wait, for 2 s at most, while the decision about a silent voter depends on that confirmation only (Policy.Undecided). The vote is removed in the log before the change. Together with the removal of the last silent vote of an even number after 1 s this closes the hole.

--- a/control/core/core.go
+++ b/control/core/core.go
@@ -482,6 +482,9 @@
 	}
 	c.leader.plan(c, now)
 	c.adjustVoters()
+	if c.cfg.Membership.Undecided(c.node) {
+		return
+	}
 	for c.inFlight == nil && len(c.pending) > 0 {
 		p := c.pending[0]
 		c.pending = c.pending[1:]
--- a/coordination/membership/adjust.go
+++ b/coordination/membership/adjust.go
@@ -62,6 +62,31 @@
 	return m.WithLearner(silent)
 }
 
+// Undecided reports whether it is still to be confirmed that a voter, silent under the last leader already, is to
+// lose its vote. An acknowledgement would count that vote until then, and stand for fewer copies than it should.
+func (p Policy) Undecided(n *quorum.Node) bool {
+	if p.EvictAfter <= 0 || n.SinceElection() > maxUndecided {
+		return false
+	}
+	m := n.Members()
+	return p.silentVoter(n, m, n.PossibleSilence) != 0 || unconfirmedPlace(n, m)
+}
+
+// unconfirmedPlace reports whether a learner will take the place of a voter once the voter's silence is confirmed.
+func unconfirmedPlace(n *quorum.Node, m *quorum.Members) bool {
+	waiting, silent := false, false
+	for id, peer := range m.Nodes {
+		responding := n.Responding(id, respondWithin)
+		switch {
+		case m.Learners[id]:
+			waiting = waiting || responding && !peer.Expendable && caughtUp(n, id)
+		case !m.Stopping[id] && !responding && n.PossibleSilence(id) >= int64(replaceAfter):
+			silent = true
+		}
+	}
+	return waiting && silent
+}
+
 // goneLearner returns a learner to remove, or zero if there is none. One that is silent may be back with its disk,
 // and stands by for a voter that is told to stop. Those that have been silent the longest go once more than
 // EvictAfter has passed and there are more of them than voters.
--- a/coordination/membership/freeze_test.go
+++ b/coordination/membership/freeze_test.go
@@ -12,6 +12,9 @@
 	"catkinrail.example/catkinrail/coordination/membership"
 )
 
+// configApply is the platform's limit for applying a change.
+const configApply = 3 * time.Second
+
 // sizes are numbers of instances and of disks that may be lost.
 var sizes = []struct{ instances, tolerated int }{{3, 1}, {4, 1}, {5, 1}, {5, 2}, {8, 1}, {8, 2}}
 
@@ -48,6 +51,36 @@
 	}
 }
 
+// TestLeaderKilledBesideReplacement guards against an acknowledgement that counts the vote of a removed instance: the
+// leader is killed before that vote is taken, and loses its disk right after the acknowledgement, once the
+// successor of the removed instance has had its time.
+func TestLeaderKilledBesideReplacement(t *testing.T) {
+	t.Parallel()
+	const downFor = 3 * time.Second
+	for _, n := range sizes {
+		for _, lead := range []time.Duration{-time.Second, 100 * time.Millisecond, time.Second} {
+			for kill := 200 * time.Millisecond; kill < catchUp; kill += 300 * time.Millisecond {
+				t.Run(fmt.Sprint(n, " successor after ", lead, " kill ", kill), func(t *testing.T) {
+					t.Parallel()
+					g := newGroup(t, n.instances, n.instances, 1, membership.Policy{Tolerated: n.tolerated, EvictAfter: evictAfter})
+					g.put()
+					removed := g.followers()[0]
+					successor := g.add(removed.peer.Zone)
+					g.after(time.Second, func() { g.remove(removed) })
+					g.after(time.Second+lead, func() { g.start(successor) })
+					began := g.now + time.Second + max(0, lead)
+					g.after(began-g.now+kill, func() { g.killLeaderFor(downFor) })
+					g.run(began - g.now + catchUp)
+					require.True(t, g.runUntil(recovery, g.allReachable))
+					require.True(t, g.runUntil(configApply, g.tryPut))
+					g.loseHolders(n.tolerated)
+					g.recover()
+				})
+			}
+		}
+	}
+}
+
 // TestLeaderAfterFreezes draws freezes of instances that are back with their disks, beside planned stops and
 // kills of the leader at any offset from each other, and the loss of the disks that hold an acknowledged value.
 // "Losses may also overlap beyond it, as long as no more disks are lost than it allows. In that case, service may
@@ -98,6 +131,13 @@
 	g.after(offset+length, func() { in.frozen = false })
 }
 
+// tryPut proposes a value and reports whether it was acknowledged.
+func (g *group) tryPut() bool {
+	before := len(g.acked)
+	g.put()
+	return len(g.acked) > before
+}
+
 // loseHolders loses the disks of the leader and of others that hold the latest value, n in all.
 func (g *group) loseHolders(n int) {
 	lead := g.leader()
