platform, cluster, directory: let an unreadable name cost its entry alone

Cause: the identifier was accepted as it came, and the decoder of the messages between processes rejects a message for one such text: the exchange between control instances and the updates for entry instances failed as a whole, again and again.

Change: such identifiers are rejected, and texts of reports have a length; the codec takes any bytes as text, unchanged; the directory and entry instances ignore entries that aren't readable, so that one from an earlier build isn't passed on. The limit on decoded maps exceeds what a document can hold.

TestUnreadableNameStopsNothing and TestSkipsUnreadableBackends fail before.

--- a/control/gossip/gossip_test.go
+++ b/control/gossip/gossip_test.go
@@ -59,10 +59,21 @@
 	if g == nil {
 		return
 	}
-	p.a.applyReply(p.link, g, p.b.Gossip(g))
+	reply := p.b.Gossip(sent(p.t, g))
+	p.a.applyReply(p.link, g, sent(p.t, reply))
 	p.a.recordResult(p.link, at, nil)
 }
 
+// sent returns a message as its receiver decodes it.
+func sent[T any](t *testing.T, m *T) *T {
+	t.Helper()
+	body, err := cluster.EncodeCompressed(m)
+	require.NoError(t, err)
+	got := new(T)
+	require.NoError(t, cluster.DecodeCompressed(body, got))
+	return got
+}
+
 // failCall records at a that a call to b failed.
 func (p *pair) failCall() {
 	p.a.recordResult(p.link, 0, fake.ErrCrashed)
@@ -113,6 +124,26 @@
 	require.True(t, view(t, p.b, "s1").Gone)
 }
 
+// TestUnreadableNameStopsNothing guards against an entry that makes the messages with it unreadable: no other report
+// got beyond the instance that had it. An instance of an earlier build may send it or have saved it.
+func TestUnreadableNameStopsNothing(t *testing.T) {
+	for _, name := range []string{"t\xe9-1", "\x00\xff-2", "\xc3-3"} {
+		p := newPair(t)
+		p.a.Report(incarnation(name, "a", 1))
+		p.b.Gossip(sent(t, &message.Gossip{Changed: []catkinrail.Incarnation{*incarnation(name, "a", 1)}}))
+		p.a.Report(incarnation("s4", "a", 1))
+		p.exchange()
+		require.Len(t, p.b.dir.All(0), 1)
+		view(t, p.b, "s4")
+
+		disk := fake.NewDisk()
+		require.NoError(t, journal.WriteRecord(disk, directoryFile, []catkinrail.Incarnation{*incarnation(name, "a", 1), *incarnation("s4", "a", 1)}))
+		d := newDirectory(p.clock, "a", disk)
+		require.Len(t, d.dir.All(0), 1)
+		view(t, d, "s4")
+	}
+}
+
 // TestCompleteAfterReceivingDirectory checks that an instance is complete once a
 // peer has sent its whole directory, also if its own calls have not reached the
 // peer yet.
--- a/entry/follow/client_test.go
+++ b/entry/follow/client_test.go
@@ -87,6 +87,22 @@
 	}
 }
 
+// TestSkipsUnreadableBackends guards against an update of an earlier build of which one unreadable name ends the stream.
+func TestSkipsUnreadableBackends(t *testing.T) {
+	c, r := newClient("a", "s:1")
+	s := &session{client: c}
+	list := []message.FollowedBackend{
+		{Incarnation: catkinrail.Incarnation{Name: "t\xe9-1", Identity: 1, Service: "logbook", Addr: netip.MustParseAddrPort("10.0.0.1:80")}},
+		{Incarnation: catkinrail.Incarnation{Name: "s-2", Identity: 2, Service: "logbook", Addr: netip.MustParseAddrPort("10.0.0.2:80")}},
+	}
+	body, err := cluster.EncodeCompressed(&message.FollowUpdate{Backends: list})
+	require.NoError(t, err)
+	u, err := s.decode(body)
+	require.NoError(t, err)
+	s.apply(u)
+	r.Do(func(e *token.Engine, _ int64) { require.Equal(t, 1, e.NumBackends()) })
+}
+
 // TestTriesSeedsLast guards against an entry instance that has no updates for longer than a drain may
 // take, since it tries seeds that have gone before the members.
 func TestTriesSeedsLast(t *testing.T) {
--- a/entry/follow/session.go
+++ b/entry/follow/session.go
@@ -146,9 +146,12 @@
 	if u.Current {
 		s.lastContact, s.hadContact = c.clock.Now(), true
 	}
-	list := make([]token.FollowedBackend, len(u.Backends))
+	list := make([]token.FollowedBackend, 0, len(u.Backends))
 	for i := range u.Backends {
-		list[i] = token.FollowedBackend{Incarnation: u.Backends[i].Incarnation, Silent: u.Backends[i].Silent, Superseded: u.Backends[i].Superseded}
+		b := &u.Backends[i]
+		if b.Readable() {
+			list = append(list, token.FollowedBackend{Incarnation: b.Incarnation, Silent: b.Silent, Superseded: b.Superseded})
+		}
 	}
 	var changed []*token.Backend
 	var version uint64
--- a/state/cluster/codec.go
+++ b/state/cluster/codec.go
@@ -14,7 +14,7 @@
 // deployment.
 const (
 	maxArray = 1 << 20
-	maxPairs = 1 << 18
+	maxPairs = 1 << 20
 )
 
 var (
@@ -35,6 +35,8 @@
 		MaxArrayElements: maxArray,
 		MaxMapPairs:      maxPairs,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		// One text that isn't valid UTF-8 must not make a whole message unreadable.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/state/directory/directory.go
+++ b/state/directory/directory.go
@@ -137,9 +137,9 @@
 	return [...]string{"ignored", "renewed", "changed"}[o]
 }
 
-// Report applies a report. One without a name is ignored.
+// Report applies a report. One that isn't readable is ignored: earlier builds may have saved or sent it.
 func (d *Directory) Report(inc *catkinrail.Incarnation, now int64, from Source) Outcome {
-	if inc.Name == "" {
+	if !inc.Readable() {
 		return Ignored
 	}
 	old := d.entries[inc.Name]
--- a/token.go
+++ b/token.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"time"
+	"unicode/utf8"
 )
 
 // Token is a routing token: the packets of a flow carry it, and it identifies the
@@ -73,6 +74,21 @@
 	Left bool `cbor:"12,keyasint,omitempty"`
 }
 
+// MaxNameLength is the maximum length of the name, the service and the zone of an incarnation, in bytes. It bounds the
+// memory of a directory that is full of other writers' reports.
+const MaxNameLength = 256
+
+// Readable reports whether the incarnation has a name, and whether its texts are short enough and valid UTF-8, as every
+// message that names it requires.
+func (i *Incarnation) Readable() bool {
+	for _, s := range []string{i.Name, i.Service, string(i.Zone)} {
+		if len(s) > MaxNameLength || !utf8.ValidString(s) {
+			return false
+		}
+	}
+	return i.Name != ""
+}
+
 // Token returns the routing token of the incarnation. An identity of up to 32 bits
 // is its own token; longer identities are folded and may share a token.
 func (i *Incarnation) Token() Token {
