token: decide copies of opening packets by the document in force

Cause: a copy of a tracked opening packet was repeated, or placed again, for the service of the first one, whatever the document said by then.

Change: a flow records the version that allowed it; a copy under a later one is checked, and decided like a first packet if its route doesn't lead to the service any more. Opening packets and resets that waited for the link are checked as they leave.

--- a/coordination/egress/egress.go
+++ b/coordination/egress/egress.go
@@ -69,7 +69,9 @@
 	Flow  catkinrail.FlowKey
 	Seq   uint32
 	Class Class
-	Data  []byte
+	// Version is that of the document by which the packet is sent.
+	Version uint64
+	Data    []byte
 }
 
 // item is a waiting packet. Its buffer is used again.
@@ -201,7 +203,7 @@
 // waits reports whether the packet is in the list.
 func (q *Queue) waits(l *list, p *Packet) bool {
 	for n := l.head; n != none; n = q.items[n].next {
-		if it := &q.items[n]; it.Seq == p.Seq && it.Flow == p.Flow && len(it.Data) == len(p.Data) {
+		if it := &q.items[n]; it.Seq == p.Seq && it.Flow == p.Flow && it.To == p.To && len(it.Data) == len(p.Data) {
 			return true
 		}
 	}
--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -51,7 +51,8 @@
 	ReasonNext
 	// ReasonToken is a packet that was forwarded by its token.
 	ReasonToken
-	// ReasonNoRoute is a new flow to an endpoint that the document doesn't list.
+	// ReasonNoRoute is a new flow to an endpoint that the document doesn't list, or a copy of the opening packet of
+	// an open flow whose service the endpoint no longer leads to.
 	ReasonNoRoute
 	// ReasonStale is a new flow without a known endpoint or backend server, while
 	// the document and the list of backend servers may be out of date.
@@ -237,6 +238,8 @@
 	sent, acked uint32
 	lastSeen    int64
 	flowCost
+	// version is that of the document that last allowed the flow's opening packet to go to the backend server.
+	version uint64
 	// priority is that of its route.
 	priority int
 	// body is that of its request, if its route takes uploads.
@@ -350,12 +353,19 @@
 func (e *Engine) open(p *catkinrail.TokenPacket, now int64) Verdict {
 	e.expireHandshakes(now)
 	if f := e.flows[p.Flow]; f != nil && f.seq == p.Seq && !f.backend.Ended() {
-		return e.openCopy(p, f, now)
+		switch {
+		case e.allows(&p.Flow, f, now):
+			return e.openCopy(p, f, now)
+		case f.open:
+			// The flow stays where it is; its caller needs no further answer to the opening packet.
+			return Verdict{Action: Drop, Reason: ReasonNoRoute}
+		}
+		e.untrack(p.Flow, f)
 	}
 	if e.overloaded {
 		return e.shed(p, ReasonOverload)
 	}
-	r := e.route(p)
+	r := e.route(&p.Flow)
 	if r == nil {
 		return e.refuse(p, ReasonNoRoute, now)
 	}
@@ -374,19 +384,50 @@
 		return e.shed(p, ReasonCold)
 	}
 	e.placed = true
-	f := e.track(p, b, now)
-	if f != nil {
-		f.priority, f.route = r.Priority, e.cost(r, b.Service, now)
-		if r.Kind == catkinrail.KindUpload {
-			f.body = e.uploads.Admit(e.sizes(r))
-		}
+	if f := e.track(p, b, now); f != nil {
+		e.setRoute(f, r, now)
 	}
 	return Verdict{Action: Forward, Reason: ReasonPlaced, Backend: b, Class: egress.ClassOpening}
 }
 
-// route returns the route of the packet's flow, or nil.
-func (e *Engine) route(p *catkinrail.TokenPacket) *catkinrail.Route {
-	return e.routes[netip.AddrPortFrom(netip.AddrFrom16(p.Flow.Dst).Unmap(), p.Flow.DstPort)]
+// allows reports whether the document in force allows an opening packet to go to the service that the flow was placed
+// for, and applies what the document says of a flow that isn't open yet.
+func (e *Engine) allows(key *catkinrail.FlowKey, f *flow, now int64) bool {
+	if f.version == e.document.Version {
+		return true
+	}
+	r := e.route(key)
+	if r == nil || !leadsTo(r, f.backend.Service) {
+		return false
+	}
+	f.version = e.document.Version
+	if !f.open {
+		e.uploads.Drop(&f.body)
+		e.setRoute(f, r, now)
+	}
+	return true
+}
+
+// AllowsOpening reports whether an opening packet that was forwarded under an earlier document, and has waited for the
+// link since, may still be sent to the backend server at the address. A reset may not be sent to the caller: the answer
+// to its next copy may differ.
+func (e *Engine) AllowsOpening(key *catkinrail.FlowKey, seq uint32, to netip.AddrPort, now int64) bool {
+	f := e.flows[*key]
+	return f != nil && f.seq == seq && f.backend.Addr == to && e.allows(key, f, now)
+}
+
+// setRoute records the route, in the document in force, of a flow that was placed by it.
+func (e *Engine) setRoute(f *flow, r *catkinrail.Route, now int64) {
+	f.version = e.document.Version
+	f.priority, f.route = r.Priority, e.cost(r, f.backend.Service, now)
+	if r.Kind == catkinrail.KindUpload {
+		f.body = e.uploads.Admit(e.sizes(r))
+	}
+}
+
+// route returns the route of the flow, or nil.
+func (e *Engine) route(key *catkinrail.FlowKey) *catkinrail.Route {
+	return e.routes[netip.AddrPortFrom(netip.AddrFrom16(key.Dst).Unmap(), key.DstPort)]
 }
 
 // refuse refuses a new flow if that is certainly right: if the document and the list
@@ -431,7 +472,7 @@
 	if unanswered {
 		e.recordMiss(f, now)
 	}
-	next, _ := e.place(e.route(p), f.backend.Service, f.backend, f.priority, now)
+	next, _ := e.place(e.route(&p.Flow), f.backend.Service, f.backend, f.priority, now)
 	if next == nil || (next == f.previous && !evacuated) || !e.takeLoan(next, now) {
 		if evacuated {
 			return Verdict{Action: Drop, Reason: ReasonEvacuated}
--- a/coordination/token/engine_test.go
+++ b/coordination/token/engine_test.go
@@ -134,6 +134,59 @@
 	}
 }
 
+// TestCopiesFollowTheDocument guards against a copy of an opening packet that is forwarded as an older document
+// allows: the first one was left unanswered, and the document has changed since.
+func TestCopiesFollowTheDocument(t *testing.T) {
+	other := backend("b", 2)
+	other.Service = "drawvault"
+	dropped := &catkinrail.Document{Version: 2, Services: []string{"logbook", "drawvault"}}
+	moved := document(2, catkinrail.Target{Service: "drawvault", Weight: 1})
+	weightless := document(2, catkinrail.Target{Service: "logbook"}, catkinrail.Target{Service: "drawvault", Weight: 1})
+	reduced := document(2, catkinrail.Target{Service: "logbook", Weight: 1}, catkinrail.Target{Service: "drawvault", Weight: 99})
+	tests := []struct {
+		name      string
+		documents []*catkinrail.Document
+		open      bool
+		action    token.Action
+		reason    token.Reason
+		backend   string
+	}{
+		{"route dropped", []*catkinrail.Document{dropped}, false, token.Drop, token.ReasonNoRoute, ""},
+		{"route moved", []*catkinrail.Document{moved}, false, token.Forward, token.ReasonPlaced, "b"},
+		{"weight zero", []*catkinrail.Document{weightless}, false, token.Forward, token.ReasonPlaced, "b"},
+		{"lower weight", []*catkinrail.Document{reduced}, false, token.Forward, token.ReasonCopy, "a"},
+		{"same route", []*catkinrail.Document{document(2)}, false, token.Forward, token.ReasonCopy, "a"},
+		{"route dropped and back", []*catkinrail.Document{dropped, document(3)}, false, token.Forward, token.ReasonCopy, "a"},
+		{"route of an open flow dropped", []*catkinrail.Document{dropped}, true, token.Drop, token.ReasonNoRoute, ""},
+		{"route of an open flow moved", []*catkinrail.Document{moved}, true, token.Drop, token.ReasonNoRoute, ""},
+		{"same route of an open flow", []*catkinrail.Document{document(2)}, true, token.Forward, token.ReasonCopy, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEngine(backend("a", 1), other)
+			first := e.Decide(opening(1, 0), 0)
+			require.Equal(t, "a", first.Backend.Name)
+			if tt.open {
+				e.Decide(data(1, first.Backend.Token(), 2, 1, 0), 10*ms)
+			}
+			for _, d := range tt.documents {
+				require.True(t, e.SetDocument(d))
+			}
+			v := e.Decide(opening(1, 1), 200*ms)
+			require.Equal(t, tt.action, v.Action)
+			require.Equal(t, tt.reason, v.Reason)
+			if tt.backend != "" {
+				require.Equal(t, tt.backend, v.Backend.Name)
+			}
+			if !tt.open {
+				return
+			}
+			v = e.Decide(data(1, first.Backend.Token(), 3, 1, 10), 210*ms)
+			require.Equal(t, token.Forward, v.Action, "the flow stays where it is")
+		})
+	}
+}
+
 func TestUnresponsiveBackendIsAvoided(t *testing.T) {
 	e := newEngine(backend("a", 1), backend("b", 2))
 	first := e.Decide(opening(1, 0), 0).Backend
--- a/coordination/token/observe.go
+++ b/coordination/token/observe.go
@@ -127,7 +127,7 @@
 		return nil
 	}
 	f := &flow{backend: b, open: true, seq: p.Seq, sent: p.Seq, acked: p.Ack, lastSeen: now}
-	r := e.route(p)
+	r := e.route(&p.Flow)
 	f.route = e.cost(r, b.Service, now)
 	// Without a payload the packet may be the last one of a flow that has ended.
 	if r != nil && r.Kind == catkinrail.KindUpload && p.Payload > 0 {
--- a/entry/packet/worker.go
+++ b/entry/packet/worker.go
@@ -258,10 +258,10 @@
 	switch v.Action {
 	case token.Forward:
 		w.arena = w.codec.Forward(w.arena, b, v.Backend.Identity, v.Backend.Token())
-		w.send(egress.Packet{To: v.Backend.Addr, Flow: p.Flow, Seq: p.Seq, Class: v.Class, Data: w.arena[start:]}, now)
+		w.send(egress.Packet{To: v.Backend.Addr, Flow: p.Flow, Seq: p.Seq, Class: v.Class, Version: e.Version(), Data: w.arena[start:]}, now)
 	case token.Refuse:
 		w.arena = w.codec.Reset(w.arena, &p)
-		w.send(egress.Packet{To: w.codec.Caller(&p), Flow: p.Flow, Seq: p.Seq, Class: egress.ClassOpening, Data: w.arena[start:]}, now)
+		w.send(egress.Packet{To: w.codec.Caller(&p), Flow: p.Flow, Seq: p.Seq, Class: egress.ClassOpening, Version: e.Version(), Data: w.arena[start:]}, now)
 	}
 }
 
@@ -285,6 +285,10 @@
 		if !ok {
 			break
 		}
+		if p.Class == egress.ClassOpening && p.Version != e.Version() && !e.AllowsOpening(&p.Flow, p.Seq, p.To, now) {
+			w.recordEvent(e, &catkinrail.TokenPacket{Flow: p.Flow}, &token.Verdict{Action: token.Drop, Reason: token.ReasonNoRoute}, now)
+			continue
+		}
 		w.conn.Queue(p.To, p.Data)
 		w.lastPacket.Store(now)
 		w.linkStats.sent(p.Class, len(p.Data), waited)
--- a/entry/packet/worker_test.go
+++ b/entry/packet/worker_test.go
@@ -200,6 +200,54 @@
 	}
 }
 
+// TestWaitingOpeningFollowsTheDocument guards against an opening packet, or a reset, that is sent as an older document
+// allows: it has waited for the link while the document changed.
+func TestWaitingOpeningFollowsTheDocument(t *testing.T) {
+	listen, other := netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.9:443")
+	routes := func(list ...netip.AddrPort) *catkinrail.Document {
+		d := &catkinrail.Document{Version: 8, Services: []string{"logbook"}}
+		for _, l := range list {
+			d.Routes = append(d.Routes, catkinrail.Route{Name: l.String(), Listen: l, Targets: []catkinrail.Target{{Service: "logbook", Weight: 1}}})
+		}
+		return d
+	}
+	tests := []struct {
+		name     string
+		to       netip.AddrPort
+		document *catkinrail.Document
+		sent     int
+	}{
+		{"no change", listen, nil, 1},
+		{"route kept", listen, routes(listen, other), 1},
+		{"route dropped", listen, routes(other), 0},
+		{"reset, no change", other, nil, 1},
+		{"reset, route added", other, routes(listen, other), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w, s, _ := newWorker(t, &bytes.Buffer{})
+			clk, ok := w.router.clock.(*manualClock)
+			require.True(t, ok)
+			w.SetLink(1.4e6)
+			for i := range uint32(16) {
+				s.in = append(s.in, dataPacket(40001, 1+i*1200, 9))
+			}
+			s.in = append(s.in, opening(40002, tt.to))
+			w.Batch(17)
+			require.Len(t, s.out, 2, "the others wait")
+			if tt.document != nil {
+				w.router.Do(func(e *token.Engine, _ int64) { require.True(t, e.SetDocument(tt.document)) })
+			}
+			for range 1000 {
+				clk.now = clk.now.Add(time.Millisecond)
+				w.Batch(0)
+			}
+			require.True(t, w.queue.Empty())
+			require.Len(t, s.out, 16+tt.sent)
+		})
+	}
+}
+
 // fakeClocks are a steady clock and a wall clock.
 type fakeClocks struct{ steady, wall int64 }
 
