token: refuse flows after an announced end only once nothing answers

Cause: an announcement counted as the end after a fixed time.

Change: after an announcement, packets are forwarded until one of a pending request comes again 500 ms after its first, without an answer to any caller since. From then on the backend server's flows are refused at once, until a caller acknowledges more.

TestAnnouncedEndIsNoEnd fails before in all five cases. TestTokens sends its first packet 5 ms later: zero stands for no pending request; its refusal, of a request repeated without an answer, still holds.

--- a/coordination/token/engine.go
+++ b/coordination/token/engine.go
@@ -63,7 +63,7 @@
 	// ReasonUnknownToken is a packet whose token belongs to no known backend server.
 	ReasonUnknownToken
 	// ReasonGone is a packet whose token belongs to an incarnation that has ended,
-	// and its flows with it.
+	// and its flows with it: another one holds its address, or it announced its end and doesn't answer.
 	ReasonGone
 	// ReasonNoDocument is a packet received before the first document.
 	ReasonNoDocument
@@ -136,10 +136,14 @@
 	handshakeFactor     = 4
 	minHandshakeTimeout = 30 * time.Millisecond
 	maxHandshakeTimeout = 150 * time.Millisecond
-	// endGracePeriod is the time after an incarnation's end from which packets of
-	// its flows are refused. A backend server may still send its last packets when
-	// it reports that it leaves.
+	// endGracePeriod is the time after an incarnation has announced its end from which packets of
+	// its flows are refused, once it doesn't answer any more. A backend server may still send its last
+	// packets when it reports that it leaves.
 	endGracePeriod = 2 * time.Second
+	// unansweredTimeout is the time without an answer after which a packet that is sent again shows that a
+	// backend server which announced its end has ended. It is shorter than the time until callers send a packet
+	// for the third time, and longer than until the second, which a backend server answers.
+	unansweredTimeout = 500 * time.Millisecond
 	// supersededGracePeriod is the same for an incarnation that is superseded. It is longer than
 	// the 2 s for which a late report of the earlier holder of its address may supersede it.
 	supersededGracePeriod = 5 * time.Second
@@ -181,8 +185,12 @@
 	latency           time.Duration
 	misses            int
 	lastMiss          int64
-	// endedAt is the time at which it was first found to have ended.
+	// endedAt is the time at which it was first found to have ended, or to have announced that.
 	endedAt int64
+	// unanswered is set while a caller's packet shows that it has ended after it announced that. answeredAt is the
+	// time at which a caller last acknowledged more than before.
+	unanswered bool
+	answeredAt int64
 	// silentSince is the time at which control reported it as silent.
 	silentSince int64
 	// evacuated is set while its zone is evacuated.
@@ -233,6 +241,8 @@
 	requestedAt int64
 	// requestBytes is the length of the pending request.
 	requestBytes int
+	// advancedAt is the time of the last packet with bytes that had not been sent before.
+	advancedAt int64
 	// sent and acked are the highest sequence and acknowledgement numbers of the
 	// caller's packets.
 	sent, acked uint32
@@ -340,7 +350,7 @@
 	if b == nil {
 		return Verdict{Action: Drop, Reason: ReasonUnknownToken}
 	}
-	if b.Ended() && now-b.endedAt > int64(b.gracePeriod()) {
+	if b.Ended() && now-b.endedAt > int64(b.gracePeriod()) && (b.superseded || e.showsEnd(p, b, now)) {
 		if p.Reset {
 			return Verdict{Action: Drop, Reason: ReasonGone}
 		}
@@ -349,6 +359,24 @@
 	return Verdict{Action: Forward, Reason: ReasonToken, Backend: b, Class: e.observe(p, b, now)}
 }
 
+// showsEnd reports whether a backend server that announced its end has ended, by what callers send: one that sends
+// a packet again has no answer, and one that acknowledges more than before has. An announcement alone doesn't show it,
+// since the backend server goes on for some seconds if the answer is lost.
+func (e *Engine) showsEnd(p *catkinrail.TokenPacket, b *Backend, now int64) bool {
+	f := e.flows[p.Flow]
+	if f == nil || f.backend != b {
+		return b.unanswered
+	}
+	again := p.Payload > 0 && int32(p.Seq+uint32(p.Payload)-f.sent) <= 0
+	switch {
+	case int32(p.Ack-f.acked) > 0:
+		b.unanswered = false
+	case again && f.requestedAt != 0 && b.answeredAt <= f.advancedAt && now-f.advancedAt >= int64(unansweredTimeout):
+		b.unanswered = true
+	}
+	return b.unanswered
+}
+
 // open decides what to do with an opening packet.
 func (e *Engine) open(p *catkinrail.TokenPacket, now int64) Verdict {
 	e.expireHandshakes(now)
--- a/coordination/token/observe.go
+++ b/coordination/token/observe.go
@@ -47,7 +47,7 @@
 	}
 	if int32(p.Ack-f.acked) > 0 {
 		f.acked = p.Ack
-		b.misses = 0
+		b.misses, b.answeredAt = 0, now
 		e.recordAnswer(f, now)
 	}
 	if p.Payload > 0 {
@@ -77,7 +77,7 @@
 		return 0
 	}
 	fresh := int(end - f.sent)
-	f.sent = end
+	f.sent, f.advancedAt = end, now
 	if f.requestedAt == 0 {
 		f.backend.pending++
 		f.requestBytes = 0
