membership: end a stop once its handed-over vote is removed

The disk of an heir that was lost before a leader had removed that vote left half of the votes.

A stop now goes on asking the leader until the vote is removed or the stop times out. Votes for which others answer are removed before that of a live instance that leaves. A silent learner is removed after a minute, so that gone instances don't stay listed. The core logs when changes wait for a decision.

--- a/control/cmd/catkinrail-control/settings.go
+++ b/control/cmd/catkinrail-control/settings.go
@@ -50,8 +50,8 @@
 	// Public is the address at which backend servers and operators reach the instance
 	// over HTTP; empty for none.
 	Public string `yaml:"public"`
-	// EvictAfter is the time out of contact after which a control instance may be removed
-	// from the members until it joins again; zero for never.
+	// EvictAfter is the time out of contact after which a control instance may lose its vote
+	// until it joins again, if the number of votes is odd; zero for never.
 	EvictAfter time.Duration `yaml:"evict-after"`
 	// LeaveTimeout is the longest time for which a stop waits until the others have decided
 	// about the instance's vote.
--- a/control/core/core.go
+++ b/control/core/core.go
@@ -482,7 +482,7 @@
 	}
 	c.leader.plan(c, now)
 	c.adjustVoters()
-	if c.cfg.Membership.Undecided(c.node) {
+	if c.holdPending() {
 		return
 	}
 	for c.inFlight == nil && len(c.pending) > 0 {
--- a/control/core/leader.go
+++ b/control/core/leader.go
@@ -45,6 +45,8 @@
 	measuredAt int64
 	// plannedAt is the time of the last planning round.
 	plannedAt int64
+	// holding is set while pending changes wait for a decision about a silent voter.
+	holding bool
 }
 
 // entryState is what the leader keeps about an entry instance.
--- a/control/core/members.go
+++ b/control/core/members.go
@@ -131,6 +131,17 @@
 	return ErrRetryLater
 }
 
+// holdPending reports whether pending changes wait for a decision about a silent voter, and logs when they begin to.
+func (c *Core) holdPending() bool {
+	hold := len(c.pending) > 0 && c.cfg.Membership.Undecided(c.node)
+	if hold && !c.leader.holding {
+		c.cfg.Log.Info().Int("pending", len(c.pending)).Uint64("term", c.node.Term()).Dur("since-election-ms", c.node.SinceElection()).
+			Msg("changes wait until a voter's silence is confirmed")
+	}
+	c.leader.holding = hold
+	return hold
+}
+
 // adjustVoters takes, on the leader, a silent member's place or an expendable instance's vote.
 // An instance that comes back joins again.
 func (c *Core) adjustVoters() {
--- a/coordination/membership/adjust.go
+++ b/coordination/membership/adjust.go
@@ -87,29 +87,19 @@
 	return waiting && silent
 }
 
-// goneLearner returns a learner to remove, or zero if there is none. One that is silent may be back with its disk,
-// and stands by for a voter that is told to stop. Those that have been silent the longest go once more than
-// EvictAfter has passed and there are more of them than voters.
+// goneLearner returns a learner to remove, or zero if there is none. One that is silent stays for standByTime: it may be
+// back with its disk, and may take the place of a voter that is told to stop.
 func (p Policy) goneLearner(n *quorum.Node, m *quorum.Members) quorum.NodeID {
-	silent := 0
-	var oldest quorum.NodeID
 	for _, id := range sortedNodes(m) {
-		silence := n.SinceLastContact(id)
-		if !m.Learners[id] || id == n.ID() || silence < int64(p.EvictAfter) {
-			continue
-		}
+		limit := standByTime
 		if m.Nodes[id].Expendable {
-			return id
+			limit = p.EvictAfter
 		}
-		silent++
-		if oldest == 0 || silence > n.SinceLastContact(oldest) {
-			oldest = id
+		if m.Learners[id] && id != n.ID() && n.SinceLastContact(id) >= int64(limit) {
+			return id
 		}
 	}
-	if silent <= m.Voters() {
-		return 0
-	}
-	return oldest
+	return 0
 }
 
 // goneVoter returns a voter that is never back and can be removed, or zero if there is none: one that was told to
@@ -120,7 +110,8 @@
 	most := 0
 	for _, id := range sortedNodes(m) {
 		holder := n.Holder(id)
-		if !m.Stopping[id] || n.Responding(id, respondWithin) || !p.removable(n, m, id) {
+		gone := holder != 0 || m.Stopping[id] && !n.Responding(id, respondWithin)
+		if !gone || !m.Voter(id) || !p.removable(n, m, id) {
 			continue
 		}
 		if holder == 0 {
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -33,6 +33,9 @@
 	// removalsAtOnce is the number of instances that may be removed for good, without a word,
 	// within the time that it takes to notice one.
 	removalsAtOnce = 1
+	// standByTime is the time after which a silent learner is removed. It is longer than an outage of a machine
+	// that is back by itself.
+	standByTime = time.Minute
 	// maxUndecided is the longest time after an election for which changes wait for Undecided. It is longer than
 	// a new leader takes to confirm silence, and shorter than the platform's limit for applying a change.
 	maxUndecided = 2 * time.Second
--- a/coordination/membership/stop.go
+++ b/coordination/membership/stop.go
@@ -42,12 +42,15 @@
 )
 
 // Next returns the next step. It doesn't end for want of a leader: a split may end within the timeout, and
-// until then the vote can be handed over. A leader that reaches too few voters may be unable to decide, too; it is
-// given time to remove a vote that was handed over, since the heir's disk carries one more until then.
+// until then the vote can be handed over. A leader that reaches too few voters may be unable to decide, too; a
+// vote that was handed over is removed before the end, if that can be decided in time, since the heir's disk carries
+// one more until then.
 func (s *Stop) Next() StopStep {
 	switch {
-	case s.Decided || s.Waited >= s.Timeout, s.HandedOver && s.SinceLeader >= handOverAfter:
+	case s.Decided || s.Waited >= s.Timeout:
 		return End
+	case s.HandedOver:
+		return AskLeader
 	case s.SinceLeader >= handOverAfter, s.Waited >= s.Timeout-min(handOverTime, s.Timeout/2):
 		return HandOver
 	}
