--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -33,7 +33,7 @@
 	// removalsAtOnce is the number of instances that may be removed for good, without a word,
 	// within the time that it takes to notice one.
 	removalsAtOnce = 1
-	// standByTime is the time after which a silent learner is removed. It is longer than an outage of a machine
+	// standByTime is the time after which a silent learner is removed. It is longer than an outage of an instance
 	// that is back by itself.
 	standByTime = time.Minute
 	// maxUndecided is the longest time after an election for which changes wait for Undecided. It is longer than
